Skeleton: protocols, lease rule, leader-following client, log contract, build

Cause: the parts are to be written side by side, so what they share comes first. Weighed: one .proto for all; kept one a part, so that parts change without clashes. Conclusion: contracts fixed; parts follow.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+# The two commands of the README are `make demo` and `make test`.
+GOBIN := $(shell go env GOPATH)/bin
+LINT := $(GOBIN)/golangci-lint
+
+.PHONY: build demo test tools lint vet unit race model failure bench slopes generate format
+
+build:
+	go build -o bin/ ./cmd/...
+
+demo: build
+	bash scripts/demo
+
+test: tools lint vet race model failure
+
+tools:
+	bash scripts/install-tools
+
+lint:
+	$(LINT) run ./...
+
+vet:
+	go vet ./...
+
+unit:
+	go test ./...
+
+race:
+	bash scripts/test-race
+
+model:
+	bash scripts/model
+
+failure: build
+	bash scripts/test-failure
+
+bench: build
+	bash scripts/bench
+
+slopes: build
+	bash scripts/slopes
+
+generate:
+	bash scripts/generate
+
+format:
+	$(LINT) fmt ./...
--- /dev/null
+++ b/cmd/pistachioctl/main.go
@@ -0,0 +1,4 @@
+// Command pistachioctl is part of pistachioport.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/pistachiod/main.go
@@ -0,0 +1,4 @@
+// Command pistachiod is part of pistachioport.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/clock/system.go
@@ -0,0 +1,30 @@
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// System reads the machine's clocks.
+type System struct{}
+
+var _ Clock = System{}
+
+// Read returns the three clocks' present values.
+func (System) Read() Reading {
+	return Reading{
+		Monotonic: read(unix.CLOCK_MONOTONIC),
+		Boot:      read(unix.CLOCK_BOOTTIME),
+		Wall:      read(unix.CLOCK_REALTIME),
+	}
+}
+
+func read(id int32) time.Duration {
+	var value unix.Timespec
+	if err := unix.ClockGettime(id, &value); err != nil {
+		// The kernel knows all three clocks since Linux 2.6.39.
+		panic(err)
+	}
+	return time.Duration(value.Nano())
+}
--- /dev/null
+++ b/internal/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry serves callers over HTTP: admission, queueing, forwarding and outcomes.
+package entry
--- /dev/null
+++ b/internal/fake/doc.go
@@ -0,0 +1,2 @@
+// Package fake has small workers, endpoints and relays for the demo and for tests, speaking only the public interface.
+package fake
--- /dev/null
+++ b/internal/lease/granter.go
@@ -0,0 +1,103 @@
+package lease
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pistachioport/pistachioport/internal/clock"
+)
+
+// Granter is the leader's account of the leases it answered for. A new leader
+// makes a new Granter: whatever its predecessor answered counts as answered at
+// the moment of its own election. It is safe for concurrent use.
+type Granter struct {
+	clock  clock.Clock
+	length time.Duration
+	wait   time.Duration // length and the drift allowance
+	begin  clock.Reading
+
+	mu       sync.Mutex
+	answered map[string]clock.Reading
+	expiring map[string]bool
+}
+
+// NewGranter returns the account of a leader elected at this moment. Leases
+// last length; a holder's clock may run slower than ours by the share drift.
+func NewGranter(c clock.Clock, length time.Duration, drift float64) *Granter {
+	return &Granter{
+		clock:    c,
+		length:   length,
+		wait:     length + time.Duration(float64(length)*drift),
+		begin:    c.Read(),
+		answered: make(map[string]clock.Reading),
+		expiring: make(map[string]bool),
+	}
+}
+
+// Length returns how long each lease lasts.
+func (g *Granter) Length() time.Duration {
+	return g.length
+}
+
+// Answer records that a renewal is about to be answered. It returns false if
+// the holder's expiry is being decided: then no answer may be sent. The caller
+// must have confirmed by a read-index round begun after the renewal's receipt
+// that it still leads.
+func (g *Granter) Answer(holder string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.expiring[holder] {
+		return false
+	}
+	g.answered[holder] = g.clock.Read()
+	return true
+}
+
+// Expired reports whether the holder's last lease has run out for certain.
+func (g *Granter) Expired(holder string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.expired(holder)
+}
+
+func (g *Granter) expired(holder string) bool {
+	last, ok := g.answered[holder]
+	if !ok {
+		last = g.begin
+	}
+	return g.clock.Read().Shortest(last) >= g.wait
+}
+
+// BeginExpiry bars further answers to the holder, if its lease has run out,
+// and reports whether it did. EndExpiry lifts the bar.
+func (g *Granter) BeginExpiry(holder string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.expiring[holder] || !g.expired(holder) {
+		return false
+	}
+	g.expiring[holder] = true
+	return true
+}
+
+// EndExpiry lifts the bar once the proposed expiry's fate is known: applied,
+// or never to be applied.
+func (g *Granter) EndExpiry(holder string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.expiring, holder)
+}
+
+// Forget drops a holder that is no longer of interest.
+func (g *Granter) Forget(holder string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.answered, holder)
+	delete(g.expiring, holder)
+}
+
+// Settled reports whether every lease that an earlier leader answered for has
+// run out or been renewed here.
+func (g *Granter) Settled() bool {
+	return g.clock.Read().Shortest(g.begin) >= g.wait
+}
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,79 @@
+package lease_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/pistachioport/pistachioport/internal/clock"
+	"github.com/pistachioport/pistachioport/internal/lease"
+)
+
+const (
+	length = 4 * time.Second
+	drift  = 0.05
+)
+
+func TestHolderCountsFromTheSend(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(time.Unix(1_700_000_000, 0))
+	holder := lease.NewHolder(c)
+	is.True(!holder.Valid()) // a new holder has no lease
+
+	sent := holder.Sending()
+	c.Advance(3 * time.Second) // the answer was late
+	holder.Extend(sent, length)
+	is.Equal(holder.Left(), time.Second)
+	c.Advance(time.Second)
+	is.True(!holder.Valid())
+}
+
+func TestHolderNoticesASuspendedVM(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(time.Unix(1_700_000_000, 0))
+	holder := lease.NewHolder(c)
+	holder.Extend(holder.Sending(), length)
+	c.Suspend(length)
+	is.True(!holder.Valid())
+}
+
+func TestHolderIgnoresAnAnswerOvertakenByANewerOne(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(time.Unix(1_700_000_000, 0))
+	holder := lease.NewHolder(c)
+	first := holder.Sending()
+	c.Advance(time.Second)
+	second := holder.Sending()
+	holder.Extend(second, length)
+	holder.Extend(first, length)
+	is.Equal(holder.Left(), length)
+}
+
+func TestGranterWaitsOutItsPredecessorsAnswers(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(time.Unix(1_700_000_000, 0))
+	granter := lease.NewGranter(c, length, drift)
+	c.Advance(length)
+	is.True(!granter.Expired("worker-1")) // the drift allowance has not passed
+	c.StepWall(time.Hour)
+	is.True(!granter.Expired("worker-1")) // a wall clock step proves nothing
+	c.Advance(200 * time.Millisecond)
+	is.True(granter.Expired("worker-1"))
+	is.True(granter.Settled())
+}
+
+func TestGranterAnswersNoRenewalWhileAnExpiryIsDecided(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(time.Unix(1_700_000_000, 0))
+	granter := lease.NewGranter(c, length, drift)
+	is.True(granter.Answer("worker-1"))
+	is.True(!granter.BeginExpiry("worker-1")) // the lease runs
+	c.Advance(length + 200*time.Millisecond)
+	is.True(granter.BeginExpiry("worker-1"))
+	is.True(!granter.BeginExpiry("worker-1")) // already being decided
+	is.True(!granter.Answer("worker-1"))
+	granter.EndExpiry("worker-1")
+	is.True(granter.Answer("worker-1"))
+	is.True(!granter.Expired("worker-1"))
+}
--- /dev/null
+++ b/internal/logging/doc.go
@@ -0,0 +1,2 @@
+// Package logging sets up structured logs.
+package logging
--- /dev/null
+++ b/internal/metrics/doc.go
@@ -0,0 +1,2 @@
+// Package metrics exposes counters over HTTP.
+package metrics
--- /dev/null
+++ b/internal/platform/doc.go
@@ -0,0 +1,2 @@
+// Package platform is the narrow interface to workers, and its HTTP form.
+package platform
--- /dev/null
+++ b/internal/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads and checks the daemon's settings file.
+package settings
