Add the replicated log: consensus core, storage and replica

Cause: the promises on configuration, leases and at-most-once execution rest on a log that survives lost processes and disks; there was none.

Before: no replica.

--- /dev/null
+++ b/internal/raft/membership.go
@@ -0,0 +1,107 @@
+package raft
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+)
+
+// membershipVersion is the membership from the log entry at index on.
+type membershipVersion struct {
+	index      uint64
+	membership *apiv1.Membership
+}
+
+// membershipLog holds the memberships of the log's entries in ascending order.
+// The first is that of the snapshot. A membership takes effect once its entry
+// is appended, and is taken back if the entry is overwritten.
+type membershipLog struct {
+	versions []membershipVersion
+}
+
+func newMembershipLog(index uint64, membership *apiv1.Membership) *membershipLog {
+	if membership == nil {
+		membership = &apiv1.Membership{}
+	}
+	return &membershipLog{versions: []membershipVersion{{index, membership}}}
+}
+
+func (l *membershipLog) latest() membershipVersion {
+	return l.versions[len(l.versions)-1]
+}
+
+// at returns the membership in effect at index.
+func (l *membershipLog) at(index uint64) *apiv1.Membership {
+	for i := len(l.versions) - 1; i > 0; i-- {
+		if l.versions[i].index <= index {
+			return l.versions[i].membership
+		}
+	}
+	return l.versions[0].membership
+}
+
+// append takes over the memberships that the entries carry, and reports
+// whether there was one.
+func (l *membershipLog) append(entries []*apiv1.LogEntry) bool {
+	changed := false
+	for _, entry := range entries {
+		if entry.GetKind() != apiv1.EntryKind_ENTRY_KIND_MEMBERSHIP {
+			continue
+		}
+		membership := &apiv1.Membership{}
+		if err := proto.Unmarshal(entry.GetData(), membership); err != nil {
+			// Entries are checksummed on disk and written by this package.
+			panic("raft: membership entry cannot be decoded: " + err.Error())
+		}
+		l.versions = append(l.versions, membershipVersion{entry.GetIndex(), membership})
+		changed = true
+	}
+	return changed
+}
+
+// truncateFrom takes back the memberships of the entries from index on, and
+// reports whether there was one.
+func (l *membershipLog) truncateFrom(index uint64) bool {
+	n := len(l.versions)
+	for n > 1 && l.versions[n-1].index >= index {
+		n--
+	}
+	changed := n < len(l.versions)
+	l.versions = l.versions[:n]
+	return changed
+}
+
+// compact forgets all versions before the one in effect at index.
+func (l *membershipLog) compact(index uint64) {
+	n := 0
+	for n+1 < len(l.versions) && l.versions[n+1].index <= index {
+		n++
+	}
+	l.versions = l.versions[n:]
+}
+
+func isVoter(membership *apiv1.Membership, id uint64) bool {
+	return find(membership.GetVoters(), id) != nil
+}
+
+func isLearner(membership *apiv1.Membership, id uint64) bool {
+	return find(membership.GetLearners(), id) != nil
+}
+
+func isMember(membership *apiv1.Membership, id uint64) bool {
+	return isVoter(membership, id) || isLearner(membership, id)
+}
+
+func find(members []*apiv1.MemberInfo, id uint64) *apiv1.MemberInfo {
+	for _, member := range members {
+		if member.GetIncarnation() == id {
+			return member
+		}
+	}
+	return nil
+}
+
+// quorum returns how many voters make a majority.
+func quorum(membership *apiv1.Membership) int {
+	return len(membership.GetVoters())/2 + 1
+}
--- /dev/null
+++ b/internal/raft/snapshot.go
@@ -0,0 +1,17 @@
+package raft
+
+import apiv1 "github.com/pistachioport/pistachioport/api/v1"
+
+// Snapshot stands for all entries up to and including Meta.Index.
+type Snapshot struct {
+	Meta *apiv1.SnapshotMeta
+	Data []byte
+}
+
+// Index returns the last index that the snapshot covers; 0 for nil.
+func (s *Snapshot) Index() uint64 {
+	if s == nil {
+		return 0
+	}
+	return s.Meta.GetIndex()
+}
--- /dev/null
+++ b/internal/replica/publish.go
@@ -0,0 +1,114 @@
+package replica
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/raft"
+)
+
+// Status returns what this member knows at present. The caller must not change
+// the membership.
+func (r *Replica) Status() Status {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	status := r.status
+	status.Applied = r.applier.appliedIndex()
+	return status
+}
+
+// Changed returns a channel that is closed at the next change of leader, term
+// or membership.
+func (r *Replica) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+// publish makes the core's state visible to Status.
+func (r *Replica) publish() {
+	identity := r.store.Identity()
+	membership := r.core.Membership()
+	status := Status{
+		ClusterID:   identity.ClusterID,
+		Incarnation: identity.Incarnation,
+		Term:        r.core.Term(),
+		Leader:      r.core.Leader(),
+		LeaderAddr:  r.transport.address(r.core.Leader()),
+		IsLeader:    r.core.Role() == raft.Leader,
+		Commit:      r.core.Commit(),
+		Membership:  membership,
+	}
+	if status.IsLeader {
+		status.LeaderAddr = r.config.Address
+	}
+	r.mu.Lock()
+	earlier := r.status
+	if status.IsLeader {
+		status.Progress = earlier.Progress
+	}
+	r.status = status
+	if !sameView(earlier, status) {
+		close(r.changed)
+		r.changed = make(chan struct{})
+	}
+	r.mu.Unlock()
+	if earlier.Membership != membership {
+		r.transport.update(membership)
+	}
+}
+
+// sameView reports whether two states agree on leader, term and membership.
+func sameView(a, b Status) bool {
+	return a.ClusterID == b.ClusterID &&
+		a.Term == b.Term &&
+		a.Leader == b.Leader &&
+		a.IsLeader == b.IsLeader &&
+		(a.Membership == b.Membership || proto.Equal(a.Membership, b.Membership))
+}
+
+// publishProgress makes the leader's view of the other members visible.
+func (r *Replica) publishProgress() {
+	all := r.core.Progress()
+	if all == nil {
+		return
+	}
+	progress := make(map[uint64]Progress, len(all))
+	for id, p := range all {
+		progress[id] = Progress{
+			Match:       p.Match,
+			LastContact: time.Duration(p.IdleTicks) * r.config.TickInterval,
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.status.Progress = progress
+}
+
+// giveUp answers what still waits when Run ends.
+func (r *Replica) giveUp() {
+	r.pending.failAfter(0, ErrUnknownFate)
+	r.reads.fail(ErrNotLeader)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.status.IsLeader = false
+	r.status.Leader = 0
+	r.status.LeaderAddr = ""
+	r.status.Progress = nil
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// memberAddresses returns the addresses of all members.
+func memberAddresses(membership *apiv1.Membership) map[uint64]string {
+	addresses := make(map[uint64]string)
+	for _, member := range membership.GetVoters() {
+		addresses[member.GetIncarnation()] = member.GetAddress()
+	}
+	for _, member := range membership.GetLearners() {
+		addresses[member.GetIncarnation()] = member.GetAddress()
+	}
+	return addresses
+}
--- /dev/null
+++ b/internal/storage/atomic.go
@@ -0,0 +1,84 @@
+package storage
+
+import (
+	"path/filepath"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+const temporarySuffix = ".tmp"
+
+// replaceFile makes the file hold exactly the given content. After a crash it
+// holds either the earlier content or the new one.
+func replaceFile(fs FileSystem, folder, name string, parts ...[]byte) error {
+	path := filepath.Join(folder, name)
+	temporary := path + temporarySuffix
+	if err := writeFile(fs, temporary, parts); err != nil {
+		return errors.Wrapf(err, "writing file %q", temporary)
+	}
+	if err := fs.Rename(temporary, path); err != nil {
+		return errors.Wrapf(err, "renaming file %q", temporary)
+	}
+	if err := fs.SyncFolder(folder); err != nil {
+		return errors.Wrapf(err, "syncing folder %q", folder)
+	}
+	return nil
+}
+
+func writeFile(fs FileSystem, path string, parts [][]byte) error {
+	file, err := fs.Create(path)
+	if err != nil {
+		return err
+	}
+	for _, part := range parts {
+		if err := writeAll(file, part); err != nil {
+			return errors.CombineErrors(err, file.Close())
+		}
+	}
+	if err := file.Sync(); err != nil {
+		return errors.CombineErrors(err, file.Close())
+	}
+	return file.Close()
+}
+
+// writeAll treats a short write without an error as an error.
+func writeAll(file File, data []byte) error {
+	n, err := file.Write(data)
+	if err != nil {
+		return err
+	}
+	if n < len(data) {
+		return errors.Newf("wrote %d of %d bytes", n, len(data))
+	}
+	return nil
+}
+
+// removeTemporaries deletes what a crash during replaceFile left behind.
+func removeTemporaries(fs FileSystem, folder string) error {
+	return removeFiles(fs, folder, func(name string) bool {
+		return strings.HasSuffix(name, temporarySuffix)
+	})
+}
+
+// removeStateFiles deletes the log and snapshots of a member that belongs to no
+// cluster: a crash cut short its formation.
+func removeStateFiles(fs FileSystem, folder string) error {
+	return removeFiles(fs, folder, isStateFile)
+}
+
+func removeFiles(fs FileSystem, folder string, selected func(name string) bool) error {
+	names, err := fs.List(folder)
+	if err != nil {
+		return errors.Wrapf(err, "listing folder %q", folder)
+	}
+	for _, name := range names {
+		if !selected(name) {
+			continue
+		}
+		if err := fs.Remove(filepath.Join(folder, name)); err != nil {
+			return errors.Wrapf(err, "removing file %q", name)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/storage/operations.go
@@ -0,0 +1,126 @@
+package storage
+
+import (
+	"github.com/cockroachdb/errors"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/raft"
+)
+
+// run carries out a change unless an earlier one failed. A failure is final:
+// what reached the disk is unknown.
+func (s *Store) run(change func() error) error {
+	if failure := s.Failure(); failure != nil {
+		return failure
+	}
+	err := change()
+	if err == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failure == nil {
+		s.failure = errors.Wrapf(err, "data folder %q", s.folder)
+	}
+	return s.failure
+}
+
+// Failure returns the error that made the data folder unusable; nil if none.
+func (s *Store) Failure() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failure
+}
+
+// Identity returns who the member is.
+func (s *Store) Identity() Identity {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.identity
+}
+
+// Append adds entries and the hard state to the log; they are durable after the
+// next Sync. The first entry may overwrite earlier ones.
+func (s *Store) Append(entries []*apiv1.LogEntry, state raft.HardState) error {
+	return s.run(func() error { return s.wal.append(entries, state) })
+}
+
+// Sync returns once all that was appended is durable.
+func (s *Store) Sync() error {
+	return s.run(s.wal.sync)
+}
+
+// Install durably replaces the log by a snapshot from the leader.
+func (s *Store) Install(snapshot *raft.Snapshot) error {
+	if err := s.SaveSnapshot(snapshot); err != nil {
+		return err
+	}
+	return s.run(func() error {
+		s.wal.markReset(snapshot.Meta)
+		return s.wal.sync()
+	})
+}
+
+// SaveSnapshot durably stores a snapshot of entries that the log holds.
+func (s *Store) SaveSnapshot(snapshot *raft.Snapshot) error {
+	return s.run(func() error {
+		s.snapshots.Lock()
+		defer s.snapshots.Unlock()
+		return writeSnapshot(s.fs, s.folder, snapshot)
+	})
+}
+
+// LoadSnapshot returns the newest stored snapshot; nil if there is none.
+func (s *Store) LoadSnapshot() (*raft.Snapshot, error) {
+	s.snapshots.Lock()
+	defer s.snapshots.Unlock()
+	return readNewestSnapshot(s.fs, s.folder)
+}
+
+// Compact deletes what the stored snapshot at index makes unnecessary.
+func (s *Store) Compact(index uint64) error {
+	return s.run(func() error {
+		if err := s.removeOldSnapshots(); err != nil {
+			return err
+		}
+		return s.wal.compact(index)
+	})
+}
+
+func (s *Store) removeOldSnapshots() error {
+	s.snapshots.Lock()
+	defer s.snapshots.Unlock()
+	return removeOldSnapshots(s.fs, s.folder)
+}
+
+// Form durably makes the member part of a new cluster whose log begins with the
+// snapshot. After a crash the member either is part of it or is as before.
+func (s *Store) Form(clusterID string, snapshot *raft.Snapshot) error {
+	if err := s.Install(snapshot); err != nil {
+		return err
+	}
+	return s.Join(clusterID)
+}
+
+// Join durably records the cluster that the member belongs to.
+func (s *Store) Join(clusterID string) error {
+	return s.run(func() error {
+		identity := Identity{Incarnation: s.Identity().Incarnation, ClusterID: clusterID}
+		if err := writeIdentity(s.fs, s.folder, identity); err != nil {
+			return err
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.identity = identity
+		return nil
+	})
+}
+
+// Close closes the folder. What was appended and not synced may be lost.
+func (s *Store) Close() error {
+	var err error
+	if s.wal != nil && s.wal.file != nil {
+		err = s.wal.close()
+	}
+	return errors.CombineErrors(err, s.lock.Close())
+}
--- /dev/null
+++ b/internal/storage/recover.go
@@ -0,0 +1,108 @@
+package storage
+
+import (
+	"github.com/cockroachdb/errors"
+)
+
+// openWAL reads the log's segments, cuts off an unsynced tail and opens the
+// newest segment for appending. All that the replay holds is durable.
+func openWAL(fs FileSystem, folder string, segmentSize int64) (*wal, *replay, error) {
+	w := &wal{fs: fs, folder: folder, segmentSize: segmentSize}
+	r := &replay{}
+	names, err := namesWithSuffix(fs, folder, segmentSuffix)
+	if err != nil {
+		return nil, nil, err
+	}
+	for i, name := range names {
+		if err := w.recoverSegment(r, name, i == len(names)-1); err != nil {
+			return nil, nil, err
+		}
+	}
+	w.state = r.state
+	if w.file != nil {
+		return w, r, nil
+	}
+	// There is no segment, or a crash cut short the newest one's beginning.
+	next, previousSize := segment{}, int64(0)
+	if n := len(w.segments); n > 0 {
+		next.sequence = w.segments[n-1].sequence + 1
+		previousSize = w.segments[n-1].size
+	}
+	return w, r, w.begin(next, previousSize)
+}
+
+func (w *wal) recoverSegment(r *replay, name string, newest bool) error {
+	sequence, err := parseSegmentName(name)
+	if err != nil {
+		return err
+	}
+	found := segment{sequence: sequence}
+	path := found.path(w.folder)
+	data, err := w.fs.ReadFile(path)
+	if err != nil {
+		return errors.Wrapf(err, "reading file %q", path)
+	}
+	records, end, err := scanSegment(path, data, newest)
+	if err != nil {
+		return err
+	}
+	if len(records) == 0 && newest {
+		return nil
+	}
+	if err := w.checkHeader(path, sequence, records); err != nil {
+		return err
+	}
+	for _, record := range records[1:] {
+		if reason := r.add(record); reason != "" {
+			return &DamageError{Path: path, Offset: record.offset, Reason: reason}
+		}
+		found.cover(record, r.last())
+	}
+	found.size = end
+	w.segments = append(w.segments, found)
+	if !newest {
+		return nil
+	}
+	return w.openNewest(path, end, int64(len(data)))
+}
+
+// checkHeader checks that the segment is the one that its name says, and that
+// the segment before it is there as a whole.
+func (w *wal) checkHeader(path string, sequence uint64, records []record) error {
+	var header segmentHeader
+	if len(records) == 0 || records[0].kind != recordSegment ||
+		!decodeWords(records[0].payload, &header.sequence, &header.previousSize) ||
+		header.sequence != sequence {
+		return &DamageError{Path: path, Reason: "the segment's header is missing or wrong"}
+	}
+	if len(w.segments) == 0 {
+		return nil
+	}
+	previous := w.current()
+	if previous.sequence+1 != sequence {
+		return &DamageError{Path: path, Reason: "the segment before this one is missing"}
+	}
+	if previous.size != int64(header.previousSize) {
+		return &DamageError{Path: previous.path(w.folder), Offset: previous.size, Reason: "the segment's end is missing"}
+	}
+	return nil
+}
+
+// openNewest cuts the segment to its valid records, makes them durable and
+// opens it.
+func (w *wal) openNewest(path string, end, size int64) error {
+	if end < size {
+		if err := w.fs.Truncate(path, end); err != nil {
+			return errors.Wrapf(err, "truncating file %q", path)
+		}
+	}
+	file, err := w.fs.OpenAppend(path)
+	if err != nil {
+		return errors.Wrapf(err, "opening file %q", path)
+	}
+	w.file = file
+	if err := file.Sync(); err != nil {
+		return errors.Wrapf(err, "syncing file %q", path)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/storage/store.go
@@ -0,0 +1,123 @@
+package storage
+
+import (
+	"io"
+	"path/filepath"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/raft"
+)
+
+// Options sets a Store up.
+type Options struct {
+	FileSystem  FileSystem // nil: Disk
+	Folder      string
+	SegmentSize int64 // bytes after which a new segment begins; 0: the default
+}
+
+const (
+	defaultSegmentSize = 8 << 20
+	lockName           = "lock"
+)
+
+// State is what a data folder held when it was opened.
+type State struct {
+	HardState raft.HardState
+	Snapshot  *raft.Snapshot    // nil in a folder without one
+	Entries   []*apiv1.LogEntry // follow the snapshot without a gap
+}
+
+// Store is an open data folder. Append, Sync, Install, Compact, Form and Join
+// are for one goroutine; SaveSnapshot and LoadSnapshot may run beside them.
+type Store struct {
+	fs     FileSystem
+	folder string
+	lock   io.Closer
+	wal    *wal
+
+	snapshots sync.Mutex // held while snapshot files change
+
+	mu       sync.Mutex
+	identity Identity
+	failure  error // of the first failed call
+}
+
+// Open opens the data folder and makes it if it is missing. Errors: a
+// DamageError if the folder's content can't be what was synced.
+func Open(options Options) (*Store, *State, error) {
+	if options.FileSystem == nil {
+		options.FileSystem = Disk{}
+	}
+	if options.SegmentSize == 0 {
+		options.SegmentSize = defaultSegmentSize
+	}
+	s := &Store{fs: options.FileSystem, folder: options.Folder}
+	if err := s.fs.MkdirAll(s.folder); err != nil {
+		return nil, nil, errors.Wrapf(err, "making folder %q", s.folder)
+	}
+	lock, err := s.fs.Lock(filepath.Join(s.folder, lockName))
+	if err != nil {
+		return nil, nil, err
+	}
+	s.lock = lock
+	state, err := s.load(options.SegmentSize)
+	if err != nil {
+		return nil, nil, errors.CombineErrors(err, s.Close())
+	}
+	return s, state, nil
+}
+
+func (s *Store) load(segmentSize int64) (*State, error) {
+	if err := removeTemporaries(s.fs, s.folder); err != nil {
+		return nil, err
+	}
+	identity, err := openIdentity(s.fs, s.folder)
+	if err != nil {
+		return nil, err
+	}
+	s.identity = identity
+	if identity.ClusterID == "" {
+		if err := removeStateFiles(s.fs, s.folder); err != nil {
+			return nil, err
+		}
+	}
+	snapshot, err := readNewestSnapshot(s.fs, s.folder)
+	if err != nil {
+		return nil, err
+	}
+	log, replayed, err := openWAL(s.fs, s.folder, segmentSize)
+	if err != nil {
+		return nil, err
+	}
+	s.wal = log
+	if err := s.joinSnapshot(replayed, snapshot); err != nil {
+		return nil, err
+	}
+	return &State{HardState: replayed.state, Snapshot: snapshot, Entries: replayed.entries}, nil
+}
+
+// joinSnapshot makes the log continue the snapshot.
+func (s *Store) joinSnapshot(r *replay, snapshot *raft.Snapshot) error {
+	index := snapshot.Index()
+	path := s.wal.current().path(s.folder)
+	if r.startsAfter(index) {
+		return &DamageError{Path: path, Reason: "the snapshot that the log continues is missing"}
+	}
+	if snapshot != nil && !r.continues(snapshot.Meta) {
+		// A crash came between storing a received snapshot and resetting the log.
+		r.entries = nil
+		r.reset = &resetMark{index: index, term: snapshot.Meta.GetTerm()}
+		s.wal.markReset(snapshot.Meta)
+		if err := s.wal.sync(); err != nil {
+			return err
+		}
+	}
+	r.dropTo(index)
+	if r.state.Commit > max(index, r.last()) {
+		return &DamageError{Path: path, Reason: "committed entries are missing at the end of the log"}
+	}
+	return nil
+}
