Settings: read, check, report every finding with its line

Cause: the daemon needs checked settings, and the TOML library names no line for a key that decodes well but holds a wrong value. Ruled out: decoding into structs, because it stops at the first wrong type and so can't report everything together; positions from the library's MetaData, which has none. Change: internal/tomlfile reads key by key over its own index of lines, internal/finding holds what was found, internal/settings checks roles, members, addresses, units and the drain delays.

--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,106 @@
+package settings
+
+import (
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/pistachioport/pistachioport/internal/finding"
+	"github.com/pistachioport/pistachioport/internal/tomlfile"
+)
+
+// Defaults and bounds.
+const (
+	defaultReplaceAfter   = 30 * time.Second
+	minReplaceAfter       = 5 * time.Second
+	maxReplaceAfter       = 24 * time.Hour
+	defaultBalancerDelay  = 5 * time.Second
+	defaultDrainDelay     = 10 * time.Second
+	defaultDrainTimeout   = 60 * time.Second
+	maxDrainTimeout       = time.Hour
+	defaultQueueLength    = 4096
+	maxQueueLength        = 1 << 20
+	defaultRequestTimeout = 10 * time.Second
+	minRequestTimeout     = 10 * time.Millisecond
+	maxRequestTimeout     = time.Hour
+	defaultMaxBody        = 8 << 20 // bytes
+	maxMaxBody            = 1 << 30 // bytes
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+
+const nameAllowed = "1 to 63 lower-case letters, digits, dots and hyphens, with a letter or digit at both ends"
+
+// Load reads and checks a settings file. The error, if any, is a
+// *finding.Error that carries every finding.
+func Load(path string) (*Settings, error) {
+	var findings finding.List
+	table := tomlfile.Read(path, &findings)
+	if table == nil {
+		return nil, findings.Err()
+	}
+	settings := read(table)
+	if err := findings.Err(); err != nil {
+		return nil, err
+	}
+	return settings, nil
+}
+
+func read(table *tomlfile.Table) *Settings {
+	settings := &Settings{
+		Name:          readName(table, "name"),
+		Region:        readName(table, "region"),
+		FailureDomain: readName(table, "failure_domain"),
+		Rack:          table.String("rack", ""),
+		Data:          table.String("data", ""),
+		Log:           readLog(table.Table("log")),
+		Control:       readControl(table.Table("control")),
+		Entry:         readEntry(table.Table("entry")),
+	}
+	if !table.Has("control") && !table.Has("entry") {
+		table.Report("", "a table [control], [entry] or both", "no role is set")
+	}
+	if settings.Control != nil {
+		checkSelf(table, settings)
+	}
+	if settings.Entry != nil {
+		checkEntryControl(table, settings)
+	}
+	checkData(table, settings)
+	table.Finish()
+	return settings
+}
+
+func readName(table *tomlfile.Table, key string) string {
+	table.Require(key, nameAllowed)
+	name := table.String(key, "")
+	if name != "" && !namePattern.MatchString(name) {
+		table.Report(key, nameAllowed, "%s = %q is no valid name", table.Name(key), name)
+	}
+	if name == "" && table.Has(key) {
+		table.Report(key, nameAllowed, "%s is empty", table.Name(key))
+	}
+	return name
+}
+
+func readLog(table *tomlfile.Table) Log {
+	log := Log{Format: "json", Level: "info"}
+	if table == nil {
+		return log
+	}
+	log.Format = table.Choice("format", log.Format, "json", "text")
+	log.Level = table.Choice("level", log.Level, "debug", "info", "warn", "error")
+	table.Finish()
+	return log
+}
+
+// checkData allows a data folder exactly where durable state is kept.
+func checkData(table *tomlfile.Table, settings *Settings) {
+	hasControl := table.Has("control")
+	switch {
+	case hasControl && strings.TrimSpace(settings.Data) == "":
+		table.Report("control", "data = a folder on a local disk", "the control role has no data folder")
+	case !hasControl && table.Has("data"):
+		table.Report("data", "a data folder only beside [control]", "data is set, but the file has no control role")
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,63 @@
+package settings
+
+import "time"
+
+// Settings is the content of one daemon's settings file. At least one of
+// Control and Entry is set; the daemon runs each role that is.
+type Settings struct {
+	Name          string // unique over all daemons
+	Region        string
+	FailureDomain string
+	Rack          string // optional
+	Data          string // folder of the durable state; control role only
+	Log           Log
+	Control       *Control // nil: not a control process
+	Entry         *Entry   // nil: not an entry
+}
+
+// Log says how the daemon writes its log.
+type Log struct {
+	Format string // "json" or "text"
+	Level  string // "debug", "info", "warn" or "error"
+}
+
+// Control holds the control role's settings.
+type Control struct {
+	Listen       string   // IP address and port
+	Advertise    string   // where the other processes reach this one
+	Members      []Member // every configured control process, this one included
+	ReplaceAfter time.Duration
+}
+
+// Member is one configured control process.
+type Member struct {
+	Name          string
+	Address       string // as it advertises itself
+	FailureDomain string
+	Spare         bool // no voter at first; takes the place of a lost one
+}
+
+// Entry holds the entry role's settings.
+type Entry struct {
+	Listen         string        // IP address and port for callers
+	AnnounceListen string        // IP address and port for endpoints and metrics
+	Advertise      string        // where callers reach this entry
+	Control        []string      // addresses of the control processes
+	BalancerDelay  time.Duration // the balancer sends no more this long after /healthz fails
+	DrainDelay     time.Duration // keeps accepting this long after /healthz fails
+	DrainTimeout   time.Duration // cuts off what is still in flight after this
+	QueueLength    int           // waiting requests over all services
+	DefaultTimeout time.Duration // of a request whose route and caller name none
+	MaxBody        int64         // bytes of one request's body
+}
+
+// Voters returns the members that form a new cluster.
+func (c *Control) Voters() []Member {
+	var voters []Member
+	for _, member := range c.Members {
+		if !member.Spare {
+			voters = append(voters, member)
+		}
+	}
+	return voters
+}
--- /dev/null
+++ b/internal/tomlfile/size.go
@@ -0,0 +1,76 @@
+package tomlfile
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+)
+
+// sizeUnit is a unit of memory.
+type sizeUnit struct {
+	name  string
+	bytes int64
+}
+
+var sizeUnits = []sizeUnit{
+	{"KiB", 1 << 10},
+	{"MiB", 1 << 20},
+	{"GiB", 1 << 30},
+	{"TiB", 1 << 40},
+	{"B", 1},
+}
+
+// Size returns a number of bytes within the given bounds.
+func (t *Table) Size(key string, fallback, low, high int64) int64 {
+	value, ok := t.get(key)
+	if !ok {
+		return fallback
+	}
+	allowed := fmt.Sprintf(`a number with the unit B, KiB, MiB, GiB or TiB, such as "512MiB", from %s to %s`,
+		FormatSize(low), FormatSize(high))
+	text, ok := value.(string)
+	if !ok {
+		t.Report(key, allowed, "%s = %v has no unit", t.Name(key), value)
+		return fallback
+	}
+	size, ok := parseSize(text)
+	if !ok {
+		t.Report(key, allowed, "%s = %q is no size", t.Name(key), text)
+		return fallback
+	}
+	if size < low || size > high {
+		t.Report(key, allowed, "%s = %q is out of range", t.Name(key), text)
+		return fallback
+	}
+	return size
+}
+
+func parseSize(text string) (int64, bool) {
+	for _, unit := range sizeUnits {
+		digits, ok := strings.CutSuffix(text, unit.name)
+		if !ok {
+			continue
+		}
+		number, err := strconv.ParseFloat(strings.TrimSpace(digits), 64)
+		if err != nil || math.IsNaN(number) || number < 0 {
+			return 0, false
+		}
+		bytes := number * float64(unit.bytes)
+		if bytes >= math.MaxInt64 {
+			return math.MaxInt64, true
+		}
+		return int64(bytes), true
+	}
+	return 0, false
+}
+
+// FormatSize returns a number of bytes with its largest whole unit.
+func FormatSize(bytes int64) string {
+	for _, unit := range []sizeUnit{sizeUnits[3], sizeUnits[2], sizeUnits[1], sizeUnits[0]} {
+		if bytes >= unit.bytes && bytes%unit.bytes == 0 {
+			return fmt.Sprintf("%d%s", bytes/unit.bytes, unit.name)
+		}
+	}
+	return fmt.Sprintf("%dB", bytes)
+}
