--- /dev/null
+++ b/internal/spec/collection.go
@@ -0,0 +1,86 @@
+package spec
+
+import (
+	"cmp"
+	"slices"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/finding"
+	"github.com/pistachioport/pistachioport/internal/tomlfile"
+)
+
+// collection is what has been read so far, with the place of each part.
+type collection struct {
+	findings *finding.List
+	jobs     []*job
+	teams    []*team
+	shapes   []*shape
+}
+
+// job, team and shape tie a part of the configuration to its table.
+type job struct {
+	*apiv1.Job
+	table  *tomlfile.Table
+	routes []*route
+}
+
+type route struct {
+	*apiv1.Route
+	table *tomlfile.Table
+}
+
+type team struct {
+	*apiv1.Team
+	table *tomlfile.Table
+}
+
+type shape struct {
+	*apiv1.WorkerShape
+	count int64 // workers of this shape in the cell
+	table *tomlfile.Table
+}
+
+func newCollection(findings *finding.List) *collection {
+	return &collection{findings: findings}
+}
+
+// read takes in one file.
+func (c *collection) read(table *tomlfile.Table, source string) {
+	for _, t := range table.Tables("job") {
+		c.jobs = append(c.jobs, readJob(t, source))
+	}
+	for _, t := range table.Tables("team") {
+		c.teams = append(c.teams, readTeam(t))
+	}
+	for _, t := range table.Tables("worker_shape") {
+		c.shapes = append(c.shapes, readShape(t))
+	}
+	table.Finish()
+}
+
+// configuration returns the parts in their canonical order.
+func (c *collection) configuration() *apiv1.Configuration {
+	configuration := &apiv1.Configuration{}
+	for _, j := range c.jobs {
+		configuration.Jobs = append(configuration.Jobs, j.Job)
+	}
+	for _, t := range c.teams {
+		configuration.Teams = append(configuration.Teams, t.Team)
+	}
+	for _, s := range c.shapes {
+		configuration.Shapes = append(configuration.Shapes, s.WorkerShape)
+	}
+	sortByName(configuration.GetJobs())
+	sortByName(configuration.GetTeams())
+	sortByName(configuration.GetShapes())
+	return configuration
+}
+
+// named is a part of a configuration that has a name.
+type named interface{ GetName() string }
+
+func sortByName[T named](parts []T) {
+	slices.SortFunc(parts, func(a, b T) int {
+		return cmp.Compare(a.GetName(), b.GetName())
+	})
+}
