pistachioctl: cluster, spec, publish, status, request, audit, config, version

Cause: operators steer by files and this tool alone. Change: one file a subcommand; addresses from flag, environment or a small TOML file; a deadline on every call; exit codes that tell findings, refusals, conflicts and an unreachable cell apart. Failing first: cluster init called the voters themselves although the environment named an address (TestClusterInit ended in exit code 6 after its deadline); the voters are now the last choice. State: go test -race ./internal/command passes against an in-test cell.

--- a/cmd/pistachioctl/main.go
+++ b/cmd/pistachioctl/main.go
@@ -1,4 +1,22 @@
-// Command pistachioctl is part of pistachioport.
+// Command pistachioctl is the operators' tool of pistachioport.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pistachioport/pistachioport/internal/command"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	environment := command.Environment{Out: os.Stdout, Err: os.Stderr, Lookup: os.LookupEnv}
+	return command.Execute(ctx, environment, os.Args[1:])
+}
--- /dev/null
+++ b/internal/command/command_test.go
@@ -0,0 +1,184 @@
+package command_test
+
+import (
+	"encoding/json"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/pistachioport/pistachioport/internal/command"
+)
+
+const examples = "../../examples/despacho/spec"
+
+func TestEveryReadingCommand(t *testing.T) {
+	_, address := start(t)
+	for name, c := range map[string]struct {
+		arguments string
+		want      []string
+	}{
+		"cluster status":  {"cluster status", []string{"c-1", "vm-1", "192.0.2.11:7400", "00000000000000ff"}},
+		"cluster members": {"cluster members", []string{"vm-2", "voter"}},
+		"overview":        {"status", []string{"members reachable", "workers quarantined"}},
+		"jobs":            {"status jobs", []string{"plans", "batch", "larger than any worker"}},
+		"tasks":           {"status tasks", []string{"plans", "wide", "waiting"}},
+		"tasks of a job":  {"status tasks --job plans", []string{"plans", "waiting"}},
+		"workers":         {"status workers", []string{"w-1", "sur/sur-montevideo/r-1", "16 cpu, 64GiB", "9 of 10 tasks failed"}},
+		"entries":         {"status entries", []string{"vm-7", "3000"}},
+		"endpoints":       {"status endpoints", []string{"e-1", "e-2"}},
+		"one service":     {"status endpoints --service dispatch", []string{"e-1"}},
+		"job":             {"status job plans", []string{"capacity", "12", "memory"}},
+		"request":         {"request order-7", []string{"done", "201"}},
+		"audit":           {"audit --since 24h --job plans", []string{"2027-01-03T21:00:00Z", "ana", "conflict"}},
+		"config":          {"config show", []string{"REVISION"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			arguments := append(strings.Fields(c.arguments), "--control", address)
+			table := run(nil, arguments...)
+			is.Equal(table.err, "")
+			is.Equal(table.code, command.ExitDone)
+			for _, want := range c.want {
+				is.True(strings.Contains(table.out, want)) // the table shows it
+			}
+			asJSON := run(nil, append(arguments, "-o", "json")...)
+			is.Equal(asJSON.code, command.ExitDone)
+			is.True(json.Valid([]byte(asJSON.out)))
+		})
+	}
+}
+
+func TestRequestNeverShowsBodyOrHeader(t *testing.T) {
+	is := is.New(t)
+	_, address := start(t)
+	for _, format := range []string{"table", "json"} {
+		shown := run(nil, "request", "order-7", "--control", address, "-o", format)
+		is.Equal(shown.code, command.ExitDone)
+		is.True(!strings.Contains(shown.out, "secret"))
+		is.True(!strings.Contains(shown.out, "c2VjcmV0")) // nor in base64
+	}
+}
+
+func TestPublish(t *testing.T) {
+	is := is.New(t)
+	c, address := start(t)
+	user := map[string]string{"PISTACHIO_CONTROL": address, "USER": "ana"}
+
+	first := run(user, "publish", examples, "--wait")
+	is.Equal(first.err, "")
+	is.Equal(first.code, command.ExitDone)
+	is.True(strings.Contains(first.out, "applied"))
+	is.True(strings.Contains(first.out, "IN FORCE EVERYWHERE"))
+	is.Equal(c.operator, "ana")
+
+	again := run(user, "publish", examples, "--base", "0", "-o", "json")
+	is.Equal(again.code, command.ExitDone)
+	is.True(strings.Contains(again.out, "STATUS_ALREADY_APPLIED"))
+	is.Equal(c.published, 1)
+
+	stale := run(user, "publish", examples+"/cell.toml", "--base", "0", "--operator", "bruno")
+	is.Equal(stale.code, command.ExitConflict)
+	is.True(strings.Contains(stale.err, `base revision 0 is not in force: revision 1 by "ana" is`))
+
+	next := run(user, "publish", examples+"/cell.toml", "--operator", "bruno")
+	is.Equal(next.code, command.ExitDone) // the base is read first
+	is.Equal(c.operator, "bruno")
+	is.Equal(c.revision, uint64(2))
+}
+
+func TestPublishSaysWhoIsNotThereYet(t *testing.T) {
+	is := is.New(t)
+	c, address := start(t)
+	c.inForce = false
+	shown := run(map[string]string{"USER": "ana"}, "publish", examples, "--control", address, "--wait", "--wait-timeout", "100ms")
+	is.Equal(shown.code, command.ExitNotInForce)
+	is.True(strings.Contains(shown.err, "waiting for: vm-7"))
+}
+
+func TestClusterInit(t *testing.T) {
+	is := is.New(t)
+	c, address := start(t)
+	user := map[string]string{"USER": "ana", "PISTACHIO_CONTROL": address}
+	voters := []string{"cluster", "init", "--member", "vm-1=192.0.2.11:7400=a", "--member", "vm-2=192.0.2.12:7400=b", "--member", "vm-3=192.0.2.13:7400=c"}
+
+	is.Equal(run(user, voters[:6]...).code, command.ExitUsage) // two voters
+	first := run(user, voters...)
+	is.Equal(first.err, "")
+	is.Equal(first.code, command.ExitDone)
+	is.Equal(len(c.formed), 3)
+	is.Equal(c.formed[2].GetFailureDomain(), "c")
+	is.Equal(run(user, voters...).code, command.ExitRefused)
+}
+
+func TestExitCodes(t *testing.T) {
+	_, address := start(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // accepts by backlog, never answers
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = silent.Close() })
+	broken := filepath.Join(t.TempDir(), "broken.toml")
+	if err := os.WriteFile(broken, []byte("[[job]]\nname = 3"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		arguments []string
+		want      int
+	}{
+		"version":         {[]string{"version"}, command.ExitDone},
+		"help":            {[]string{}, command.ExitDone},
+		"completion":      {[]string{"completion", "bash"}, command.ExitDone},
+		"unknown command": {[]string{"place"}, command.ExitUsage},
+		"unknown flag":    {[]string{"status", "--all"}, command.ExitUsage},
+		"too few":         {[]string{"status", "job"}, command.ExitUsage},
+		"bad format":      {[]string{"status", "-o", "xml"}, command.ExitUsage},
+		"bad time":        {[]string{"audit", "--since", "yesterday", "--control", address}, command.ExitUsage},
+		"no address":      {[]string{"status"}, command.ExitUsage},
+		"no operator":     {[]string{"publish", examples, "--control", address}, command.ExitUsage},
+		"findings":        {[]string{"spec", "check", broken}, command.ExitFindings},
+		"bad config file": {[]string{"status", "--config", broken}, command.ExitFindings},
+		"unknown job":     {[]string{"status", "job", "none", "--control", address}, command.ExitRefused},
+		"unknown key":     {[]string{"request", "none", "--control", address}, command.ExitRefused},
+		"silent":          {[]string{"status", "--control", silent.Addr().String(), "--timeout", "200ms"}, command.ExitUnreachable},
+		"nobody listens":  {[]string{"status", "--control", "127.0.0.1:1", "--timeout", "200ms"}, command.ExitUnreachable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			shown := run(nil, c.arguments...)
+			is.Equal(shown.code, c.want)
+			is.Equal(shown.err != "", c.want != command.ExitDone) // errors go to the error stream, and only they
+		})
+	}
+}
+
+func TestAddressesComeFromFlagThenEnvironmentThenFile(t *testing.T) {
+	is := is.New(t)
+	_, address := start(t)
+	file := filepath.Join(t.TempDir(), "ctl.toml")
+	is.NoErr(os.WriteFile(file, []byte(`control = ["`+address+`"]`), 0o600))
+
+	is.Equal(run(nil, "status", "--config", file).code, command.ExitDone)
+	dead := map[string]string{"PISTACHIO_CONFIG": file, "PISTACHIO_CONTROL": "127.0.0.1:1"}
+	is.Equal(run(dead, "status", "--timeout", "200ms").code, command.ExitUnreachable) // the environment goes first
+	is.Equal(run(dead, "status", "--control", address).code, command.ExitDone)        // the flag goes first of all
+}
+
+func TestEveryCallHasADeadline(t *testing.T) {
+	is := is.New(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = silent.Close() }()
+	ended := make(chan result, 1)
+	go func() { ended <- run(nil, "status", "--control", silent.Addr().String(), "--timeout", "0s") }()
+	select {
+	case shown := <-ended:
+		is.Equal(shown.code, command.ExitUnreachable)
+	case <-time.After(30 * time.Second):
+		t.Fatal("status did not end")
+	}
+}
--- /dev/null
+++ b/internal/command/config_file.go
@@ -0,0 +1,34 @@
+package command
+
+import (
+	"github.com/pistachioport/pistachioport/internal/finding"
+	"github.com/pistachioport/pistachioport/internal/tomlfile"
+)
+
+// configFile is the tool's own settings file.
+type configFile struct {
+	control  []string
+	operator string
+}
+
+// readConfig reads the file that --config or the environment names, if any.
+func (s *session) readConfig() (configFile, error) {
+	path := s.config
+	if path == "" {
+		path = s.variable(configVariable)
+	}
+	if path == "" {
+		return configFile{}, nil
+	}
+	var findings finding.List
+	table := tomlfile.Read(path, &findings)
+	if table == nil {
+		return configFile{}, findings.Err()
+	}
+	file := configFile{
+		control:  table.Addresses("control"),
+		operator: table.String("operator", ""),
+	}
+	table.Finish()
+	return file, findings.Err()
+}
--- /dev/null
+++ b/internal/command/exit_code.go
@@ -0,0 +1,75 @@
+package command
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
+
+	"github.com/pistachioport/pistachioport/internal/finding"
+	"github.com/pistachioport/pistachioport/internal/rpc"
+)
+
+// Exit codes of the tool.
+const (
+	ExitDone        = 0
+	ExitError       = 1
+	ExitUsage       = 2
+	ExitFindings    = 3
+	ExitRefused     = 4
+	ExitConflict    = 5
+	ExitUnreachable = 6
+	ExitNotInForce  = 7
+)
+
+// Marks of errors that have their own exit code.
+var (
+	errUsage      = errors.New("wrong arguments")
+	errConflict   = errors.New("conflict")
+	errNotInForce = errors.New("not yet in force")
+)
+
+func exitCode(err error) int {
+	var findings *finding.Error
+	switch {
+	case errors.As(err, &findings):
+		return ExitFindings
+	case errors.Is(err, errUsage):
+		return ExitUsage
+	case errors.Is(err, errConflict):
+		return ExitConflict
+	case errors.Is(err, errNotInForce):
+		return ExitNotInForce
+	case isUnreachable(err):
+		return ExitUnreachable
+	case isRefusal(err):
+		return ExitRefused
+	default:
+		return ExitError
+	}
+}
+
+func isUnreachable(err error) bool {
+	if errors.Is(err, rpc.ErrUnreachable) || errors.Is(err, context.DeadlineExceeded) {
+		return true
+	}
+	var answer twirp.Error
+	return errors.As(err, &answer) &&
+		(answer.Code() == twirp.Unavailable || answer.Code() == twirp.DeadlineExceeded)
+}
+
+// isRefusal reports an answer that sending again would not change.
+func isRefusal(err error) bool {
+	var answer twirp.Error
+	if !errors.As(err, &answer) {
+		return false
+	}
+	switch answer.Code() {
+	case twirp.InvalidArgument, twirp.Malformed, twirp.OutOfRange, twirp.NotFound, twirp.AlreadyExists,
+		twirp.PermissionDenied, twirp.Unauthenticated, twirp.FailedPrecondition, twirp.Aborted,
+		twirp.ResourceExhausted, twirp.BadRoute, twirp.Unimplemented:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/command/publish.go
@@ -0,0 +1,153 @@
+package command
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/rpc"
+	"github.com/pistachioport/pistachioport/internal/spec"
+)
+
+const (
+	defaultForceTimeout = 30 * time.Second
+	forcePoll           = time.Second // one server-side wait
+	forceAttemptTimeout = 3 * time.Second
+)
+
+// publishOptions are the flags of publish.
+type publishOptions struct {
+	base        uint64
+	baseIsSet   bool
+	wait        bool
+	waitTimeout time.Duration
+}
+
+func newPublishCommand(s *session) *cobra.Command {
+	var options publishOptions
+	command := &cobra.Command{
+		Use:   "publish PATH...",
+		Short: "Checks operators' files and publishes them as the desired state",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(command *cobra.Command, paths []string) error {
+			options.baseIsSet = command.Flags().Changed("base")
+			return s.publish(command.Context(), options, paths)
+		},
+	}
+	flags := command.Flags()
+	flags.Uint64Var(&options.base, "base", 0, "revision that the files were made from (default: the one in force, read first)")
+	flags.BoolVar(&options.wait, "wait", false, "wait until the publication is in force at every entry")
+	flags.DurationVar(&options.waitTimeout, "wait-timeout", defaultForceTimeout, "how long --wait waits")
+	return command
+}
+
+func (s *session) publish(ctx context.Context, options publishOptions, paths []string) error {
+	configuration, err := spec.Collect(paths...)
+	if err != nil {
+		return err
+	}
+	operator, err := s.operatorName()
+	if err != nil {
+		return err
+	}
+	return s.withClient(func(client *rpc.Client) error {
+		base, err := s.baseRevision(ctx, client, options)
+		if err != nil {
+			return err
+		}
+		request := &apiv1.PublishRequest{BaseRevision: base, Configuration: configuration, Operator: operator}
+		response, err := call(ctx, s, client.Control().Publish, request)
+		if err != nil {
+			return errors.Wrap(err, publishHint(err))
+		}
+		result := response.GetResult()
+		if err := s.show(response, publishTable(result, base)); err != nil {
+			return err
+		}
+		if err := publishError(result, base); err != nil {
+			return err
+		}
+		if !options.wait {
+			return nil
+		}
+		return s.awaitForce(ctx, client, result.GetRevision(), options.waitTimeout)
+	})
+}
+
+// publishHint says what a failed call leaves open.
+func publishHint(err error) string {
+	if isUnreachable(err) {
+		return "publish: it may or may not have been applied; publish the same files again to find out"
+	}
+	return "publish"
+}
+
+func (s *session) baseRevision(ctx context.Context, client *rpc.Client, options publishOptions) (uint64, error) {
+	if options.baseIsSet {
+		return options.base, nil
+	}
+	current, err := call(ctx, s, client.Control().GetConfiguration, &apiv1.GetConfigurationRequest{})
+	if err != nil {
+		return 0, errors.Wrap(err, "read the revision in force")
+	}
+	return current.GetRevision(), nil
+}
+
+func publishTable(result *apiv1.PublishResult, base uint64) *table {
+	t := &table{header: []string{"STATUS", "BASE", "REVISION", "IN FORCE", "WINNER"}}
+	t.add(enumText(result.GetStatus(), "STATUS_"), base, result.GetRevision(), result.GetCurrentRevision(), result.GetWinner())
+	return t
+}
+
+// publishError returns an error unless the content is the one in force.
+func publishError(result *apiv1.PublishResult, base uint64) error {
+	switch result.GetStatus() {
+	case apiv1.PublishResult_STATUS_APPLIED, apiv1.PublishResult_STATUS_ALREADY_APPLIED:
+		return nil
+	case apiv1.PublishResult_STATUS_SUPERSEDED:
+		return errors.Mark(errors.Newf("this content was revision %d; revision %d has replaced it since",
+			result.GetRevision(), result.GetCurrentRevision()), errConflict)
+	case apiv1.PublishResult_STATUS_CONFLICT:
+		return errors.Mark(errors.Newf("base revision %d is not in force: revision %d by %q is",
+			base, result.GetCurrentRevision(), result.GetWinner()), errConflict)
+	default:
+		return errors.Newf("the cell answered with the unknown status %v", result.GetStatus())
+	}
+}
+
+// awaitForce waits until every entry that holds a lease serves the revision.
+func (s *session) awaitForce(ctx context.Context, client *rpc.Client, revision uint64, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	ctx = rpc.WithAttemptTimeout(ctx, forceAttemptTimeout)
+	var waitingFor []string
+	for ctx.Err() == nil {
+		request := &apiv1.AwaitForceRequest{Revision: revision, WaitMs: forcePoll.Milliseconds()}
+		response, err := client.Control().AwaitForce(ctx, request)
+		if err != nil {
+			if ctx.Err() == nil {
+				return errors.Wrap(err, "wait until in force")
+			}
+			break
+		}
+		if response.GetInForce() {
+			return s.showInForce(revision)
+		}
+		waitingFor = response.GetWaitingFor()
+	}
+	return errors.Mark(errors.Newf("revision %d is applied, but after %v not yet in force everywhere; waiting for: %s",
+		revision, timeout, strings.Join(waitingFor, ", ")), errNotInForce)
+}
+
+func (s *session) showInForce(revision uint64) error {
+	if s.output == outputJSON {
+		return nil // the exit code says so
+	}
+	t := &table{header: []string{"IN FORCE EVERYWHERE"}}
+	t.add(revision)
+	return t.write(s.environment.Out)
+}
--- /dev/null
+++ b/internal/command/root.go
@@ -0,0 +1,94 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/pistachioport/pistachioport/internal/finding"
+)
+
+// Environment is what the tool takes from the process that runs it.
+type Environment struct {
+	Out    io.Writer
+	Err    io.Writer
+	Lookup func(name string) (string, bool) // reads an environment variable
+}
+
+// Execute runs the tool and returns its exit code.
+func Execute(ctx context.Context, environment Environment, arguments []string) int {
+	root := newRoot(environment)
+	root.SetArgs(arguments)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return ExitDone
+	}
+	printError(environment.Err, err)
+	return exitCode(err)
+}
+
+func newRoot(environment Environment) *cobra.Command {
+	session := newSession(environment)
+	root := &cobra.Command{
+		Use:           "pistachioctl",
+		Short:         "Operates a pistachioport cell",
+		Long:          rootHelp,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		Args:          cobra.NoArgs,
+		RunE:          func(command *cobra.Command, _ []string) error { return command.Help() },
+	}
+	root.SetOut(environment.Out)
+	root.SetErr(environment.Err)
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Mark(err, errUsage) })
+	session.addFlags(root.PersistentFlags())
+	root.AddCommand(
+		newClusterCommand(session),
+		newSpecCommand(session),
+		newPublishCommand(session),
+		newStatusCommand(session),
+		newRequestCommand(session),
+		newAuditCommand(session),
+		newConfigCommand(session),
+		newVersionCommand(session),
+	)
+	markUsageErrors(root)
+	return root
+}
+
+const rootHelp = `pistachioctl publishes operators' files to a pistachioport cell and shows its state.
+
+Exit codes:
+  0  done
+  1  any other error
+  2  wrong arguments
+  3  findings in files
+  4  refused by the cell
+  5  conflict with another publication
+  6  no control process answered within the deadline
+  7  applied, but not yet in force at every entry when the wait ended`
+
+// markUsageErrors lets errors of argument checks be told from others.
+func markUsageErrors(command *cobra.Command) {
+	if check := command.Args; check != nil {
+		command.Args = func(c *cobra.Command, arguments []string) error {
+			return errors.Mark(check(c, arguments), errUsage)
+		}
+	}
+	for _, child := range command.Commands() {
+		markUsageErrors(child)
+	}
+}
+
+// printError writes findings as they are, and any other error in one line.
+func printError(out io.Writer, err error) {
+	var findings *finding.Error
+	if errors.As(err, &findings) {
+		_, _ = fmt.Fprintln(out, findings.Error())
+		return
+	}
+	_, _ = fmt.Fprintf(out, "pistachioctl: %v\n", err)
+}
--- /dev/null
+++ b/internal/command/session.go
@@ -0,0 +1,101 @@
+package command
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/pflag"
+
+	"github.com/pistachioport/pistachioport/internal/rpc"
+)
+
+const (
+	defaultTimeout = 10 * time.Second
+	maxTimeout     = time.Hour
+)
+
+// Environment variables that the tool reads.
+const (
+	controlVariable  = "PISTACHIO_CONTROL"  // addresses, separated by commas
+	configVariable   = "PISTACHIO_CONFIG"   // the tool's own settings file
+	operatorVariable = "PISTACHIO_OPERATOR" // name for the audit trail
+	userVariable     = "USER"
+)
+
+// session holds the global flags of one run of the tool.
+type session struct {
+	environment Environment
+	control     []string
+	fallback    []string // addresses to use when none is given
+	config      string
+	operator    string
+	timeout     time.Duration
+	output      outputFormat
+}
+
+func newSession(environment Environment) *session {
+	return &session{environment: environment, timeout: defaultTimeout, output: outputTable}
+}
+
+func (s *session) addFlags(flags *pflag.FlagSet) {
+	flags.StringSliceVar(&s.control, "control", nil, "addresses of control processes (environment: "+controlVariable+")")
+	flags.StringVar(&s.config, "config", "", "settings file of this tool (environment: "+configVariable+")")
+	flags.StringVar(&s.operator, "operator", "", "name for the audit trail (environment: "+operatorVariable+", "+userVariable+")")
+	flags.DurationVar(&s.timeout, "timeout", defaultTimeout, "deadline of each call")
+	flags.VarP(&s.output, "output", "o", "table or json")
+}
+
+// connect returns a client of the control processes. A flag goes before the
+// environment, and that before the settings file.
+func (s *session) connect() (*rpc.Client, error) {
+	file, err := s.readConfig()
+	if err != nil {
+		return nil, err
+	}
+	addresses := s.control
+	if len(addresses) == 0 {
+		addresses = splitList(s.variable(controlVariable))
+	}
+	if len(addresses) == 0 {
+		addresses = file.control
+	}
+	if len(addresses) == 0 {
+		addresses = s.fallback
+	}
+	if len(addresses) == 0 {
+		return nil, errors.Mark(errors.Newf(
+			"no control process is known; name one by --control, %s or the key control in the file of --config",
+			controlVariable), errUsage)
+	}
+	return rpc.NewClient(rpc.Options{Addresses: addresses}), nil
+}
+
+// operatorName returns who acts, for the audit trail.
+func (s *session) operatorName() (string, error) {
+	file, err := s.readConfig()
+	if err != nil {
+		return "", err
+	}
+	for _, name := range []string{s.operator, s.variable(operatorVariable), file.operator, s.variable(userVariable)} {
+		if name != "" {
+			return name, nil
+		}
+	}
+	return "", errors.Mark(errors.Newf("no operator is named; give --operator or %s", operatorVariable), errUsage)
+}
+
+// callContext returns a context that ends at the deadline of one call.
+func (s *session) callContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, min(max(s.timeout, time.Millisecond), maxTimeout))
+}
+
+func (s *session) variable(name string) string {
+	value, _ := s.environment.Lookup(name)
+	return value
+}
+
+func splitList(text string) []string {
+	return strings.FieldsFunc(text, func(r rune) bool { return r == ',' || r == ' ' })
+}
--- /dev/null
+++ b/internal/version/version.go
@@ -0,0 +1,45 @@
+// Package version tells which build of the project is running.
+package version
+
+import (
+	"fmt"
+	"runtime/debug"
+)
+
+// Build identifies a build by what the Go tool recorded in it.
+type Build struct {
+	Module   string `json:"module"`   // version of the module; (devel) outside a release
+	Revision string `json:"revision"` // source revision; empty if not recorded
+	Modified bool   `json:"modified"` // built from changed sources
+	Go       string `json:"go"`
+}
+
+// Read returns this process's build.
+func Read() Build {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return Build{}
+	}
+	build := Build{Module: info.Main.Version, Go: info.GoVersion}
+	for _, setting := range info.Settings {
+		switch setting.Key {
+		case "vcs.revision":
+			build.Revision = setting.Value
+		case "vcs.modified":
+			build.Modified = setting.Value == "true"
+		}
+	}
+	return build
+}
+
+// String returns the build in one line.
+func (b Build) String() string {
+	text := fmt.Sprintf("%s (%s)", b.Module, b.Go)
+	if b.Revision != "" {
+		text += " at " + b.Revision
+	}
+	if b.Modified {
+		text += ", modified"
+	}
+	return text
+}
