--- /dev/null
+++ b/internal/fake/relay/fault.go
@@ -0,0 +1,8 @@
+package relay
+
+// Fault is what a relay does wrong. The zero value relays faithfully.
+type Fault struct {
+	SwallowToTarget bool // bytes from clients are read and dropped
+	SwallowToClient bool // bytes from the target are read and dropped
+	RefuseNew       bool // new connections are closed at once
+}
