--- /dev/null
+++ b/internal/logging/logger.go
@@ -0,0 +1,54 @@
+package logging
+
+import (
+	"io"
+	"log/slog"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// New returns a logger that writes one line for each record at or above the
+// level. Formats: "json", "text". Levels: "debug", "info", "warn", "error".
+func New(out io.Writer, format, level string) (*slog.Logger, error) {
+	var threshold slog.Level
+	if err := threshold.UnmarshalText([]byte(level)); err != nil {
+		return nil, errors.Newf("unknown log level %q; allowed: debug, info, warn, error", level)
+	}
+	options := &slog.HandlerOptions{Level: threshold, ReplaceAttr: redact}
+	switch format {
+	case "json":
+		return slog.New(slog.NewJSONHandler(out, options)), nil
+	case "text":
+		return slog.New(slog.NewTextHandler(out, options)), nil
+	default:
+		return nil, errors.Newf("unknown log format %q; allowed: json, text", format)
+	}
+}
+
+// redacted replaces values that belong to callers or that grant access.
+const redacted = "[redacted]"
+
+// secretKeys are attributes whose values are never written.
+var secretKeys = map[string]bool{
+	"answer":              true,
+	"authorization":       true,
+	"body":                true,
+	"cookie":              true,
+	"header":              true,
+	"headers":             true,
+	"password":            true,
+	"proxy-authorization": true,
+	"secret":              true,
+	"set-cookie":          true,
+	"token":               true,
+}
+
+// redact guards against a secret that is logged by mistake.
+func redact(_ []string, attribute slog.Attr) slog.Attr {
+	key := strings.ReplaceAll(strings.ToLower(attribute.Key), "_", "-")
+	if secretKeys[key] {
+		return slog.String(attribute.Key, redacted)
+	}
+	return attribute
+}
--- /dev/null
+++ b/internal/metrics/json.go
@@ -0,0 +1,45 @@
+package metrics
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"strconv"
+)
+
+// jsonSample is the JSON form of one metric. Values that are no numbers are
+// null. Times are in seconds.
+type jsonSample struct {
+	Kind      string              `json:"kind"`
+	Value     *float64            `json:"value,omitempty"`
+	Count     *int64              `json:"count,omitempty"`
+	Sum       *float64            `json:"sum,omitempty"`
+	Quantiles map[string]*float64 `json:"quantiles,omitempty"`
+}
+
+// writeJSON writes one object with a member for each metric, by its own name.
+func writeJSON(out *bytes.Buffer, samples []sample) error {
+	object := map[string]jsonSample{}
+	for _, s := range samples {
+		object[s.Name] = toJSON(s)
+	}
+	return json.NewEncoder(out).Encode(object)
+}
+
+func toJSON(s sample) jsonSample {
+	if s.Kind != kindSummary {
+		return jsonSample{Kind: s.Kind, Value: number(s.Value)}
+	}
+	j := jsonSample{Kind: s.Kind, Count: &s.Count, Sum: number(s.Sum), Quantiles: map[string]*float64{}}
+	for i, q := range quantiles {
+		j.Quantiles[strconv.FormatFloat(q, 'g', -1, 64)] = number(s.Quantiles[i])
+	}
+	return j
+}
+
+func number(value float64) *float64 {
+	if math.IsNaN(value) || math.IsInf(value, 0) {
+		return nil
+	}
+	return &value
+}
--- /dev/null
+++ b/internal/metrics/process.go
@@ -0,0 +1,55 @@
+package metrics
+
+import (
+	"runtime"
+	"runtime/metrics"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// Names of what RegisterProcess adds.
+const (
+	processCPU        = "process.cpu_seconds"
+	processMemory     = "process.memory_bytes"
+	processGoroutines = "process.goroutines"
+	processStart      = "process.start_unix_seconds"
+)
+
+// RegisterProcess adds this process's processor time, memory obtained from
+// the system, goroutines and start time to the registry.
+func RegisterProcess(registry gometrics.Registry, start time.Time) error {
+	gauges := map[string]any{
+		processCPU:        gometrics.NewFunctionalGaugeFloat64(cpuSeconds),
+		processMemory:     gometrics.NewFunctionalGauge(memoryBytes),
+		processGoroutines: gometrics.NewFunctionalGauge(func() int64 { return int64(runtime.NumGoroutine()) }),
+		processStart:      gometrics.NewFunctionalGauge(start.Unix),
+	}
+	for name, gauge := range gauges {
+		if err := registry.Register(name, gauge); err != nil {
+			return errors.Wrapf(err, "register metric %q", name)
+		}
+	}
+	return nil
+}
+
+// cpuSeconds returns user and system time of this process, 0 if unknown.
+func cpuSeconds() float64 {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()).Seconds()
+}
+
+// memoryBytes returns what the runtime holds, without what it gave back.
+func memoryBytes() int64 {
+	read := []metrics.Sample{
+		{Name: "/memory/classes/total:bytes"},
+		{Name: "/memory/classes/heap/released:bytes"},
+	}
+	metrics.Read(read)
+	return int64(read[0].Value.Uint64()) - int64(read[1].Value.Uint64()) //nolint:gosec // far below 2^63
+}
