Settings: commented files, ready sets for both users, listeners that clash

Cause: operators start from ready files, and two listeners of one process at one port were only found at bind time. State: a test loads every file and compares the files of one deployment.

--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -35,10 +35,6 @@
 }
 
 func checkEntry(table *tomlfile.Table, entry *Entry) {
-	if entry.Listen != "" && entry.Listen == entry.AnnounceListen {
-		table.Report("announce_listen", "another port than entry.listen",
-			"entry.announce_listen = %q is taken by entry.listen", entry.AnnounceListen)
-	}
 	if entry.DrainDelay < entry.BalancerDelay {
 		table.Report("drain_delay", fmt.Sprintf("at least balancer_delay, %v", entry.BalancerDelay),
 			"entry.drain_delay = %v is below the balancer's delay, so new requests would be cut off", entry.DrainDelay)
--- /dev/null
+++ b/internal/settings/examples_test.go
@@ -0,0 +1,63 @@
+package settings_test
+
+import (
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/pistachioport/pistachioport/internal/settings"
+)
+
+func TestCommentedExamples(t *testing.T) {
+	files, err := filepath.Glob("../../examples/settings/*.toml")
+	if err != nil || len(files) != 3 {
+		t.Fatalf("found %d commented files: %v", len(files), err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			is := is.New(t)
+			_, err := settings.Load(file)
+			is.NoErr(err)
+		})
+	}
+}
+
+// TestReadySets checks the files of one deployment against each other.
+func TestReadySets(t *testing.T) {
+	for user, want := range map[string]struct{ machines, voters int }{
+		"despacho":   {12, 5},
+		"sagarmatha": {9, 5},
+	} {
+		t.Run(user, func(t *testing.T) {
+			is := is.New(t)
+			files, err := filepath.Glob("../../examples/" + user + "/settings/*.toml")
+			is.NoErr(err)
+			is.Equal(len(files), want.machines)
+			names, addresses := map[string]bool{}, map[string]bool{}
+			var members []settings.Member
+			controls := 0
+			for _, file := range files {
+				loaded, err := settings.Load(file)
+				is.NoErr(err)
+				is.True(loaded.Entry != nil) // every VM is an entry
+				names[loaded.Name] = true
+				addresses[loaded.Entry.Listen] = true
+				addresses[loaded.Entry.AnnounceListen] = true
+				is.Equal(len(loaded.Entry.Control), want.voters)
+				if loaded.Control == nil {
+					continue
+				}
+				controls++
+				addresses[loaded.Control.Listen] = true
+				if members == nil {
+					members = loaded.Control.Members
+				}
+				is.Equal(loaded.Control.Members, members) // the same list everywhere
+			}
+			is.Equal(len(names), want.machines)                   // no name twice
+			is.Equal(len(addresses), 2*want.machines+want.voters) // no address twice
+			is.Equal(controls, want.voters)
+		})
+	}
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"net/netip"
 	"regexp"
 	"strings"
 	"time"
@@ -67,6 +68,7 @@
 		checkEntryControl(table, settings)
 	}
 	checkData(table, settings)
+	checkListeners(table, settings)
 	table.Finish()
 	return settings
 }
@@ -104,3 +106,36 @@
 		table.Report("data", "a data folder only beside [control]", "data is set, but the file has no control role")
 	}
 }
+
+// checkListeners reports two listeners of one process at the same address.
+func checkListeners(table *tomlfile.Table, settings *Settings) {
+	var keys, addresses []string
+	add := func(key, address string) {
+		for i, other := range addresses {
+			if sameListener(other, address) {
+				table.Report(key, "another port than "+keys[i], "%s = %q is taken by %s", key, address, keys[i])
+			}
+		}
+		keys = append(keys, key)
+		addresses = append(addresses, address)
+	}
+	if settings.Control != nil {
+		add("control.listen", settings.Control.Listen)
+	}
+	if settings.Entry != nil {
+		add("entry.listen", settings.Entry.Listen)
+		add("entry.announce_listen", settings.Entry.AnnounceListen)
+	}
+}
+
+func sameListener(a, b string) bool {
+	one, err := netip.ParseAddrPort(a)
+	if err != nil {
+		return false
+	}
+	other, err := netip.ParseAddrPort(b)
+	if err != nil || one.Port() != other.Port() {
+		return false
+	}
+	return one.Addr() == other.Addr() || one.Addr().IsUnspecified() || other.Addr().IsUnspecified()
+}
