pistachiod: command line with run, check and version

Cause: the settings must be checkable without starting anything. Change: internal/command/daemon takes the function that runs the roles.

--- /dev/null
+++ b/internal/command/daemon/doc.go
@@ -0,0 +1,2 @@
+// Package daemon holds the daemon's command line.
+package daemon
--- /dev/null
+++ b/internal/command/daemon/root.go
@@ -0,0 +1,132 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/pistachioport/pistachioport/internal/finding"
+	"github.com/pistachioport/pistachioport/internal/settings"
+	"github.com/pistachioport/pistachioport/internal/version"
+)
+
+// Exit codes of the daemon.
+const (
+	ExitDone     = 0
+	ExitError    = 1
+	ExitUsage    = 2
+	ExitFindings = 3
+)
+
+var errUsage = errors.New("wrong arguments")
+
+// RunFunc runs the daemon's roles until ctx ends, and then shuts them down
+// gracefully.
+type RunFunc func(ctx context.Context, settings *settings.Settings) error
+
+// Execute runs the command line and returns the process's exit code.
+func Execute(ctx context.Context, out, errOut io.Writer, arguments []string, run RunFunc) int {
+	root := newRoot(run)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	root.SetArgs(arguments)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return ExitDone
+	}
+	var findings *finding.Error
+	if errors.As(err, &findings) {
+		_, _ = fmt.Fprintln(errOut, findings.Error())
+		return ExitFindings
+	}
+	_, _ = fmt.Fprintf(errOut, "pistachiod: %v\n", err)
+	if errors.Is(err, errUsage) {
+		return ExitUsage
+	}
+	return ExitError
+}
+
+func newRoot(run RunFunc) *cobra.Command {
+	root := &cobra.Command{
+		Use:   "pistachiod",
+		Short: "Runs the roles of one VM: control, entry or both",
+		Long: `pistachiod runs the roles that its settings file names: control, entry or both.
+
+Exit codes:
+  0  done
+  1  any other error
+  2  wrong arguments
+  3  findings in the settings file`,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		Args:          usage(cobra.NoArgs),
+		RunE:          func(command *cobra.Command, _ []string) error { return command.Help() },
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Mark(err, errUsage) })
+	root.AddCommand(newRunCommand(run), newCheckCommand(), newVersionCommand())
+	return root
+}
+
+// usage marks the errors of an argument check.
+func usage(check cobra.PositionalArgs) cobra.PositionalArgs {
+	return func(command *cobra.Command, arguments []string) error {
+		return errors.Mark(check(command, arguments), errUsage)
+	}
+}
+
+func newRunCommand(run RunFunc) *cobra.Command {
+	return &cobra.Command{
+		Use:   "run FILE",
+		Short: "Runs the roles of a settings file until SIGTERM or an interrupt",
+		Args:  usage(cobra.ExactArgs(1)),
+		RunE: func(command *cobra.Command, files []string) error {
+			loaded, err := settings.Load(files[0])
+			if err != nil {
+				return err
+			}
+			return run(command.Context(), loaded)
+		},
+	}
+}
+
+func newCheckCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FILE",
+		Short: "Checks a settings file and reports every finding",
+		Args:  usage(cobra.ExactArgs(1)),
+		RunE: func(command *cobra.Command, files []string) error {
+			loaded, err := settings.Load(files[0])
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(command.OutOrStdout(), "%s: no findings; %s is %s\n", files[0], loaded.Name, roles(loaded))
+			return err
+		},
+	}
+}
+
+func roles(s *settings.Settings) string {
+	switch {
+	case s.Control != nil && s.Entry != nil:
+		return "control and entry"
+	case s.Control != nil:
+		return "control"
+	default:
+		return "entry"
+	}
+}
+
+func newVersionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Shows the version of this daemon",
+		Args:  usage(cobra.NoArgs),
+		RunE: func(command *cobra.Command, _ []string) error {
+			_, err := fmt.Fprintln(command.OutOrStdout(), "pistachiod", version.Read())
+			return err
+		},
+	}
+}
