Number entries' renewals and leave unchanged grants out

Cause: an entry's holds and grants of 50 endpoints would be sent both ways each second, close to the whole traffic budget of 3 KB a second. A renewal that a newer one overtook must not change what the entry is taken to hold.

Change: sequence, holds_tag, grants_tag and grants_unchanged in the entry's renewal; entries that use none of them are served as before. The audit trail keeps operators' and endpoints' records in parts of their own, so that endpoints coming and going don't push publications out. Configurations and claim calls are bounded below the log's 4 MiB a command.

--- a/internal/control/claims.go
+++ b/internal/control/claims.go
@@ -4,12 +4,16 @@
 	"context"
 
 	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 )
 
-// maxClaimChanges bounds the changes of one call.
-const maxClaimChanges = 4096
+// Bounds of one call.
+const (
+	maxClaimChanges   = 4096
+	maxClaimCallBytes = 3 << 20 // less than the log takes in one command
+)
 
 // claimsService serves the claims of non-idempotent requests.
 type claimsService struct {
@@ -24,7 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(batch.GetChanges()) > maxClaimChanges {
+	if len(batch.GetChanges()) > maxClaimChanges || proto.Size(batch) > maxClaimCallBytes {
 		return nil, twirp.InvalidArgumentError("changes", "too many in one call")
 	}
 	if len(batch.GetChanges()) == 0 {
--- a/internal/control/discovery.go
+++ b/internal/control/discovery.go
@@ -63,11 +63,11 @@
 	}
 	if result.GetRefusalCode() != "" {
 		return 0, twirp.NewError(twirp.FailedPrecondition, result.GetRefusal()).
-			WithMeta("refusal", result.GetRefusalCode())
+			WithMeta(refusalMeta, result.GetRefusalCode())
 	}
 	for _, refusal := range result.GetEndpoint().GetRefused() {
 		return 0, twirp.NewError(refusalCode(refusal), refusal.GetDetail()).
-			WithMeta("refusal", refusal.GetCode())
+			WithMeta(refusalMeta, refusal.GetCode())
 	}
 	return result.GetEndpoint().GetRevision(), nil
 }
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -19,10 +19,14 @@
 
 // SlotLedger divides the endpoints' slots among the entries of one term.
 type SlotLedger interface {
-	// Renew notes what an entry session holds and wants, and returns what it
-	// may hold from now on.
-	Renew(
+	// Locate notes where an entry session runs.
+	Locate(session string, location *apiv1.Location)
+
+	// RenewInSequence notes what an entry session holds and wants, and returns
+	// what it may hold from now on. Sequence 0 means not numbered.
+	RenewInSequence(
 		session string,
+		sequence uint64,
 		holds []*apiv1.SlotHold,
 		demand []*apiv1.ServiceDemand,
 		endpoints []*apiv1.Endpoint,
--- a/internal/control/entry_link.go
+++ b/internal/control/entry_link.go
@@ -19,6 +19,12 @@
 	grantPause = 20 * time.Millisecond
 )
 
+// Refusals that callers tell apart by their meta field.
+const (
+	refusalMeta = "refusal"
+	unknownTag  = "unknown-tag"
+)
+
 // entryLink serves the entries.
 type entryLink struct {
 	*Server
@@ -36,9 +42,9 @@
 	if err := checkRenewal(request); err != nil {
 		return nil, err
 	}
-	session, ok := l.sessions.begin(request)
-	if !ok {
-		return nil, twirp.NewError(twirp.ResourceExhausted, "too many entry sessions")
+	session, err := l.sessions.begin(request)
+	if err != nil {
+		return nil, err
 	}
 	renewal := &entryRenewal{leadership: l, request: request, session: session}
 	var response *apiv1.RenewEntryResponse
@@ -65,9 +71,13 @@
 	*leadership
 	request *apiv1.RenewEntryRequest
 	session entrySession
+	holds   []*apiv1.SlotHold
 }
 
 func (r *entryRenewal) serve(ctx context.Context) (*apiv1.RenewEntryResponse, error) {
+	if err := r.readHolds(); err != nil {
+		return nil, err
+	}
 	round := r.barrier.join() // begins after the receipt
 	r.await(ctx)
 	if err := round.wait(ctx); err != nil {
@@ -77,6 +87,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.sessions.overtaken(r.request) {
+		return nil, errOvertaken
+	}
 	// Nothing is answered on the account of a leadership that has ended.
 	if !r.current() || !r.entries.Answer(r.request.GetSession()) {
 		return nil, r.server.notLeader()
@@ -84,13 +97,29 @@
 	return response, nil
 }
 
+// readHolds finds out what the entry holds: what it reports, or what it was
+// granted under the tag that it reports.
+func (r *entryRenewal) readHolds() error {
+	tag := r.request.GetHoldsTag()
+	if tag == 0 {
+		r.holds = r.request.GetHolds()
+		return nil
+	}
+	if tag != r.session.tag {
+		return twirp.NewErrorf(twirp.FailedPrecondition, "tag %d of holds is not known", tag).
+			WithMeta(refusalMeta, unknownTag)
+	}
+	r.holds = r.session.granted
+	return nil
+}
+
 // await returns when there is something to tell, or the time to wait is over.
 func (r *entryRenewal) await(ctx context.Context) {
 	wait := min(time.Duration(r.request.GetWaitMs())*time.Millisecond, maxEntryWait)
 	if !r.session.answered || wait <= 0 {
 		return
 	}
-	if grantsDiffer(r.session.granted, r.grants()) || raised(r.request.GetHolds(), r.session.granted) {
+	if grantsDiffer(r.session.granted, r.grants()) || raised(r.holds, r.session.granted) {
 		wait = min(wait, grantPause)
 	}
 	timer := time.NewTimer(wait)
@@ -116,7 +145,6 @@
 	response := &apiv1.RenewEntryResponse{
 		LeaseMs:          r.entries.Length().Milliseconds(),
 		Revision:         revision,
-		Grants:           r.grants(),
 		ControlAddresses: r.server.controlAddresses(),
 		NowUnixMs:        r.server.Clock.Read().Time().UnixMilli(),
 	}
@@ -130,15 +158,30 @@
 	response.EndpointsReset = delta.Reset
 	response.Endpoints = delta.Changed
 	response.GoneEndpoints = delta.Gone
+	r.answerGrants(response)
 	return response, nil
 }
 
+// answerGrants leaves unchanged grants out, if the entry named their tag.
+func (r *entryRenewal) answerGrants(response *apiv1.RenewEntryResponse) {
+	grants := r.grants()
+	if tag := r.request.GetHoldsTag(); tag != 0 && !grantsDiffer(r.holds, grants) {
+		response.GrantsTag = tag
+		response.GrantsUnchanged = true
+		return
+	}
+	response.Grants = grants
+	response.GrantsTag = r.sessions.nextTag()
+}
+
 func (r *entryRenewal) grants() []*apiv1.SlotHold {
 	if r.slots == nil {
 		return nil
 	}
+	request := r.request
+	r.slots.Locate(request.GetSession(), request.GetLocation())
 	endpoints := r.server.Store.Endpoints("")
-	return r.slots.Renew(r.request.GetSession(), r.request.GetHolds(), r.request.GetDemand(), endpoints)
+	return r.slots.RenewInSequence(request.GetSession(), request.GetSequence(), r.holds, request.GetDemand(), endpoints)
 }
 
 // expireEntries drops the sessions whose leases have run out.
--- a/internal/control/entry_sessions.go
+++ b/internal/control/entry_sessions.go
@@ -5,12 +5,16 @@
 	"slices"
 	"sync"
 
+	"github.com/twitchtv/twirp"
+
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 )
 
 // maxEntrySessions bounds the sessions of one term.
 const maxEntrySessions = 4096
 
+var errOvertaken = twirp.NewError(twirp.Aborted, "a newer renewal of the session overtook this one")
+
 // entrySession is one run of an entry process, as the leader knows it.
 type entrySession struct {
 	id       string
@@ -20,8 +24,10 @@
 	draining bool
 	known    uint64 // largest revision that the entry reported
 	pending  int    // renewals received and not yet answered
+	sequence uint64 // largest of the entry's requests
 	answered bool   // in this term
 	granted  []*apiv1.SlotHold
+	tag      uint64 // of granted; 0: none
 }
 
 // entrySessions are the sessions that may hold a lease of this term. A session
@@ -32,6 +38,7 @@
 	mu      sync.Mutex
 	byID    map[string]*entrySession
 	changed chan struct{} // closed and replaced when a session reports or goes
+	lastTag uint64
 }
 
 func newEntrySessions() *entrySessions {
@@ -41,19 +48,23 @@
 	}
 }
 
-// begin notes the receipt of a renewal. It returns false if too many sessions
-// are known.
-func (e *entrySessions) begin(request *apiv1.RenewEntryRequest) (entrySession, bool) {
+// begin notes the receipt of a renewal and returns the session. It refuses one
+// that a newer one overtook, and new sessions beyond the bound.
+func (e *entrySessions) begin(request *apiv1.RenewEntryRequest) (entrySession, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	session, ok := e.byID[request.GetSession()]
 	if !ok {
 		if len(e.byID) >= maxEntrySessions {
-			return entrySession{}, false
+			return entrySession{}, twirp.NewError(twirp.ResourceExhausted, "too many entry sessions")
 		}
 		session = &entrySession{id: request.GetSession()}
 		e.byID[session.id] = session
 	}
+	if request.GetSequence() < session.sequence {
+		return entrySession{}, errOvertaken
+	}
+	session.sequence = request.GetSequence()
 	session.name = request.GetEntry()
 	session.location = request.GetLocation()
 	session.address = request.GetAddress()
@@ -63,7 +74,7 @@
 		session.known = request.GetKnownRevision()
 		e.wake()
 	}
-	return *session, true
+	return *session, nil
 }
 
 // end notes that a renewal was answered, or refused if the response is nil.
@@ -75,12 +86,32 @@
 		return
 	}
 	session.pending--
-	if response != nil {
-		session.answered = true
+	if response == nil {
+		return
+	}
+	session.answered = true
+	if !response.GetGrantsUnchanged() {
 		session.granted = response.GetGrants()
+		session.tag = response.GetGrantsTag()
 	}
 }
 
+// overtaken reports whether a newer renewal of the session has arrived.
+func (e *entrySessions) overtaken(request *apiv1.RenewEntryRequest) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	session, ok := e.byID[request.GetSession()]
+	return ok && session.sequence > request.GetSequence()
+}
+
+// nextTag returns a tag that no answer of this term carries yet.
+func (e *entrySessions) nextTag() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lastTag++
+	return e.lastTag
+}
+
 // remove drops the sessions that no renewal is pending for and that the
 // function says are gone, and returns their ids.
 func (e *entrySessions) remove(gone func(id string) bool) []string {
--- a/internal/control/handler.go
+++ b/internal/control/handler.go
@@ -15,8 +15,8 @@
 	callTimeout      = 5 * time.Second
 	longCallTimeout  = maxForceWait + callTimeout
 	maxBodyBytes     = 1 << 20
-	maxLargeBody     = 16 << 20 // publications and claims
-	maxRenewalBody   = 4 << 20  // an entry's holds
+	maxLargeBody     = 4 << 20 // publications and claims
+	maxRenewalBody   = 4 << 20 // an entry's holds
 	healthPath       = "/healthz"
 	readyPath        = "/readyz"
 	plainContentType = "text/plain; charset=utf-8"
--- a/internal/control/slots_test.go
+++ b/internal/control/slots_test.go
@@ -4,7 +4,9 @@
 	"sync"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"github.com/twitchtv/twirp"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 	"github.com/pistachioport/pistachioport/internal/control"
@@ -16,8 +18,10 @@
 	expired []string
 }
 
-func (f *fakeLedger) Renew(
-	_ string, _ []*apiv1.SlotHold, _ []*apiv1.ServiceDemand, endpoints []*apiv1.Endpoint,
+func (f *fakeLedger) Locate(string, *apiv1.Location) {}
+
+func (f *fakeLedger) RenewInSequence(
+	_ string, _ uint64, _ []*apiv1.SlotHold, _ []*apiv1.ServiceDemand, endpoints []*apiv1.Endpoint,
 ) []*apiv1.SlotHold {
 	var grants []*apiv1.SlotHold
 	for _, each := range endpoints {
@@ -58,3 +62,45 @@
 	r.lead()
 	is.Equal(ledgers, 2) // each term has its own
 }
+
+func TestUnchangedGrantsAreLeftOutOfTheAnswer(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, func(config *control.Config) {
+		config.NewSlots = func() control.SlotLedger { return &fakeLedger{} }
+	})
+	r.lead()
+	is.NoErr(r.announce("a"))
+	first := r.renew("s", 0)
+	is.Equal(len(first.GetGrants()), 1)
+
+	tagged := renewal("s", first.GetRevision())
+	tagged.HoldsTag = first.GetGrantsTag()
+	answer, err := r.entries().Renew(t.Context(), tagged)
+	is.NoErr(err)
+	is.True(answer.GetGrantsUnchanged())
+	is.Equal(len(answer.GetGrants()), 0)
+
+	is.NoErr(r.announce("b"))
+	answer, err = r.entries().Renew(t.Context(), tagged)
+	is.NoErr(err)
+	is.True(!answer.GetGrantsUnchanged())
+	is.Equal(len(answer.GetGrants()), 2)
+
+	_, err = r.entries().Renew(t.Context(), tagged) // no longer the last one
+	var refusal twirp.Error
+	is.True(errors.As(err, &refusal))
+	is.Equal(refusal.Meta("refusal"), "unknown-tag")
+}
+
+func TestOvertakenRenewalIsRefused(t *testing.T) {
+	r := newRig(t)
+	is := is.New(t)
+	r.lead()
+	request := renewal("s", 0)
+	request.Sequence = 2
+	_, err := r.entries().Renew(t.Context(), request)
+	is.NoErr(err)
+	request.Sequence = 1
+	_, err = r.entries().Renew(t.Context(), request)
+	is.True(err != nil)
+}
--- a/internal/state/audit.go
+++ b/internal/state/audit.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 
@@ -9,10 +10,11 @@
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 )
 
-// Bounds of the audit trail. The oldest records go first.
+// Bounds of the audit trail, for each of its two parts. The oldest records go
+// first. At 330 publications a day those of operators last for seven weeks.
 const (
-	maxAuditRecords = 32768
-	maxAuditBytes   = 16 << 20
+	maxAuditRecords = 16384
+	maxAuditBytes   = 8 << 20
 
 	maxAuditText    = 1024  // bytes of one text of a record
 	maxAuditChanged = 10000 // names in one record
@@ -23,12 +25,14 @@
 	maxAuditLimit     = 10000
 )
 
-// auditTable keeps who changed what, and when.
+// auditTable keeps who changed what, and when. Endpoints come and go by
+// themselves far more often than operators publish, so each kind of record has
+// its own part: the one can't push the other out.
 type auditTable struct {
-	mu      sync.RWMutex
-	records []*apiv1.AuditRecord // oldest first
-	next    uint64               // index of the next record
-	bytes   int
+	mu        sync.RWMutex
+	operators auditTrail
+	endpoints auditTrail
+	next      uint64 // index of the next record
 }
 
 func newAuditTable() *auditTable {
@@ -44,19 +48,17 @@
 	defer t.mu.Unlock()
 	kept.Index = t.next
 	t.next++
-	t.records = append(t.records, kept)
-	t.bytes += auditSize(kept)
-	t.evict()
+	t.trail(kept).add(kept)
 }
 
-func (t *auditTable) evict() {
-	drop := 0
-	for len(t.records)-drop > 1 && (len(t.records)-drop > maxAuditRecords || t.bytes > maxAuditBytes) {
-		t.bytes -= auditSize(t.records[drop])
-		t.records[drop] = nil
-		drop++
+// trail returns the part that a record belongs to.
+func (t *auditTable) trail(record *apiv1.AuditRecord) *auditTrail {
+	switch record.GetAction() {
+	case ActionAnnounce, ActionWithdraw, ActionExpire:
+		return &t.endpoints
+	default:
+		return &t.operators
 	}
-	t.records = t.records[drop:]
 }
 
 // list returns the newest records that match, oldest first.
@@ -67,36 +69,35 @@
 	limit = min(limit, maxAuditLimit)
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	var found []*apiv1.AuditRecord
-	for _, record := range slices.Backward(t.records) {
-		if len(found) == limit || record.GetUnixMs() < since {
-			break
-		}
-		if concerns(record, object) {
-			found = append(found, proto.CloneOf(record))
-		}
-	}
-	slices.Reverse(found)
-	return found
+	found := append(t.operators.list(since, object, limit), t.endpoints.list(since, object, limit)...)
+	sortRecords(found)
+	return found[max(0, len(found)-limit):]
 }
 
 func (t *auditTable) snapshot() *apiv1.AuditSnapshot {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return &apiv1.AuditSnapshot{Records: slices.Clone(t.records), NextIndex: t.next}
+	records := slices.Concat(t.operators.records, t.endpoints.records)
+	sortRecords(records)
+	return &apiv1.AuditSnapshot{Records: records, NextIndex: t.next}
 }
 
 func (t *auditTable) restore(snapshot *apiv1.AuditSnapshot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.records = snapshot.GetRecords()
+	t.operators, t.endpoints = auditTrail{}, auditTrail{}
 	t.next = max(1, snapshot.GetNextIndex())
-	t.bytes = 0
-	for _, record := range t.records {
-		t.bytes += auditSize(record)
+	for _, record := range snapshot.GetRecords() {
+		t.trail(record).add(record)
 	}
 }
 
+func sortRecords(records []*apiv1.AuditRecord) {
+	slices.SortFunc(records, func(a, b *apiv1.AuditRecord) int {
+		return cmp.Compare(a.GetIndex(), b.GetIndex())
+	})
+}
+
 // concerns reports whether the record is about the object, or about every one
 // if the name is empty.
 func concerns(record *apiv1.AuditRecord, object string) bool {
--- /dev/null
+++ b/internal/state/audit_trail.go
@@ -0,0 +1,39 @@
+package state
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+)
+
+// auditTrail is a bounded list of records. The caller holds the table's lock.
+type auditTrail struct {
+	records []*apiv1.AuditRecord // oldest first; never changed
+	bytes   int
+}
+
+func (t *auditTrail) add(record *apiv1.AuditRecord) {
+	t.records = append(t.records, record)
+	t.bytes += auditSize(record)
+	for len(t.records) > maxAuditRecords || (t.bytes > maxAuditBytes && len(t.records) > 1) {
+		t.bytes -= auditSize(t.records[0])
+		t.records[0] = nil
+		t.records = t.records[1:]
+	}
+}
+
+// list returns copies of the newest records that match, newest first.
+func (t *auditTrail) list(since int64, object string, limit int) []*apiv1.AuditRecord {
+	var found []*apiv1.AuditRecord
+	for _, record := range slices.Backward(t.records) {
+		if len(found) == limit || record.GetUnixMs() < since {
+			break
+		}
+		if concerns(record, object) {
+			found = append(found, proto.CloneOf(record))
+		}
+	}
+	return found
+}
--- a/internal/state/publish.go
+++ b/internal/state/publish.go
@@ -30,7 +30,7 @@
 		Revision:     s.revision.current() + 1,
 		BaseRevision: command.GetBaseRevision(),
 		Digest:       digest,
-		Operator:     command.GetOperator(),
+		Operator:     truncate(command.GetOperator()),
 		UnixMs:       now,
 	}
 	result, changed := s.configuration.publish(publication, configuration)
--- a/internal/state/validate.go
+++ b/internal/state/validate.go
@@ -12,7 +12,7 @@
 
 // Bounds of a configuration.
 const (
-	maxConfigurationBytes = 8 << 20
+	maxConfigurationBytes = 3 << 20
 	maxJobs               = 20000
 	maxTeams              = 1000
 	maxShapes             = 1000
