--- /dev/null
+++ b/internal/daemon/control_role.go
@@ -0,0 +1,125 @@
+package daemon
+
+import (
+	"context"
+	"hash/fnv"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/pistachioport/pistachioport/internal/balance/shares"
+	"github.com/pistachioport/pistachioport/internal/clock"
+	"github.com/pistachioport/pistachioport/internal/control"
+	"github.com/pistachioport/pistachioport/internal/replica"
+	"github.com/pistachioport/pistachioport/internal/state"
+	"github.com/pistachioport/pistachioport/internal/state/claims"
+)
+
+const (
+	// controlReadTimeout bounds how long a call's request may take to arrive.
+	controlReadTimeout = 30 * time.Second
+	// trailingShare is the part of the entries between two snapshots that
+	// stays in memory behind a snapshot, for followers that are a little late.
+	trailingShare = 4
+)
+
+// controlRole is a member of the replicated log and, while it leads, the
+// leader's duties.
+type controlRole struct {
+	replica  *replica.Replica
+	server   *control.Server
+	listener *listener
+}
+
+func newControlRole(p *process) (*controlRole, error) {
+	system := clock.System{}
+	store := state.New(state.Options{Claims: claims.New(claims.Options{})})
+	log, err := replica.New(replica.Config{
+		DataDir:       p.settings.Data,
+		Name:          p.settings.Name,
+		Address:       p.settings.Control.Advertise,
+		FailureDomain: p.settings.FailureDomain,
+		Machine:       store,
+		Logger:        p.logger,
+		Metrics:       p.registry,
+		Seed:          seed(p.settings.Name),
+		WrapTransport: redirect(p.settings.Control),
+
+		SnapshotEntries: uint64(p.settings.Control.SnapshotEntries),
+		TrailingEntries: uint64(p.settings.Control.SnapshotEntries / trailingShare),
+	})
+	if err != nil {
+		return nil, err
+	}
+	server, err := control.New(control.Config{
+		Log:      log,
+		Store:    store,
+		Clock:    system,
+		Logger:   p.logger,
+		Metrics:  p.registry,
+		Name:     p.settings.Name,
+		Address:  p.settings.Control.Advertise,
+		Peers:    peers(p),
+		NewSlots: func() control.SlotLedger { return shares.NewLedger(shares.Options{Clock: system}) },
+	})
+	if err != nil {
+		return nil, err
+	}
+	role := &controlRole{replica: log, server: server}
+	role.listener, err = listen(p.settings.Control.Listen, role.handler(p), controlReadTimeout, p.logger)
+	if err != nil {
+		return nil, err
+	}
+	return role, nil
+}
+
+func (r *controlRole) handler(p *process) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(replica.PeerPath, r.replica.PeerHandler())
+	mux.Handle("/metrics", p.exposed)
+	mux.Handle("/", r.server.Handler())
+	return mux
+}
+
+// run serves until ctx ends. Then the leader hands over while its listener
+// still answers the other members, and only then the replica ends.
+func (r *controlRole) run(ctx context.Context) error {
+	group, failed := errgroup.WithContext(context.WithoutCancel(ctx))
+	replicaContext, stopReplica := context.WithCancel(failed)
+	defer stopReplica()
+	serverContext, stopServer := context.WithCancel(failed)
+	defer stopServer()
+	stop := context.AfterFunc(ctx, stopServer)
+	defer stop()
+
+	group.Go(r.listener.serve)
+	group.Go(func() error {
+		defer r.listener.close()
+		return r.replica.Run(replicaContext)
+	})
+	group.Go(func() error {
+		defer stopReplica()
+		return r.server.Run(serverContext)
+	})
+	return group.Wait()
+}
+
+func peers(p *process) []control.Peer {
+	var found []control.Peer
+	for _, member := range p.settings.Control.Members {
+		found = append(found, control.Peer{
+			Name:          member.Name,
+			Address:       member.Address,
+			FailureDomain: member.FailureDomain,
+		})
+	}
+	return found
+}
+
+// seed spreads the members' election timeouts.
+func seed(name string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(name))
+	return hash.Sum64() ^ uint64(time.Now().UnixNano())
+}
--- /dev/null
+++ b/internal/daemon/listener.go
@@ -0,0 +1,64 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Limits of a listener's connections.
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+	// closeTimeout bounds the wait for the last answers when a listener closes.
+	closeTimeout = 5 * time.Second
+)
+
+// listener is one open port and its HTTP server.
+type listener struct {
+	socket net.Listener
+	server *http.Server
+}
+
+// listen opens the address. The whole request must arrive within readTimeout;
+// 0 leaves that to the handler.
+func listen(address string, handler http.Handler, readTimeout time.Duration, logger *slog.Logger) (*listener, error) {
+	socket, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	return &listener{
+		socket: socket,
+		server: &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: readHeaderTimeout,
+			ReadTimeout:       readTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+			ErrorLog:          slog.NewLogLogger(logger.Handler(), slog.LevelDebug),
+		},
+	}, nil
+}
+
+// serve answers until close.
+func (l *listener) serve() error {
+	err := l.server.Serve(l.socket)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrapf(err, "serve %s", l.socket.Addr())
+}
+
+// close lets running calls end, for a bounded time.
+func (l *listener) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := l.server.Shutdown(ctx); err != nil {
+		_ = l.server.Close()
+	}
+}
--- /dev/null
+++ b/internal/daemon/redirect.go
@@ -0,0 +1,49 @@
+package daemon
+
+import (
+	"net/http"
+
+	"github.com/pistachioport/pistachioport/internal/settings"
+)
+
+// redirect returns a wrapper for transports that dials other addresses than
+// the members advertise, where the settings say so.
+func redirect(s *settings.Control) func(http.RoundTripper) http.RoundTripper {
+	dial := make(map[string]string)
+	for _, member := range s.Members {
+		if member.Dial != "" {
+			dial[member.Address] = member.Dial
+		}
+	}
+	if len(dial) == 0 {
+		return nil
+	}
+	return func(next http.RoundTripper) http.RoundTripper {
+		return redirector{next: next, dial: dial}
+	}
+}
+
+// redirector sends requests for an advertised address to another one.
+type redirector struct {
+	next http.RoundTripper
+	dial map[string]string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (r redirector) RoundTrip(request *http.Request) (*http.Response, error) {
+	address, ok := r.dial[request.URL.Host]
+	if !ok {
+		return r.next.RoundTrip(request)
+	}
+	request = request.Clone(request.Context())
+	request.URL.Host = address
+	return r.next.RoundTrip(request)
+}
+
+// CloseIdleConnections closes the wrapped transport's idle connections.
+func (r redirector) CloseIdleConnections() {
+	type closer interface{ CloseIdleConnections() }
+	if next, ok := r.next.(closer); ok {
+		next.CloseIdleConnections()
+	}
+}
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -17,9 +17,10 @@
 		return nil
 	}
 	control := &Control{
-		Listen:       readListen(table, "listen"),
-		Advertise:    readAdvertise(table, "advertise"),
-		ReplaceAfter: table.Duration("replace_after", defaultReplaceAfter, minReplaceAfter, maxReplaceAfter),
+		Listen:          readListen(table, "listen"),
+		Advertise:       readAdvertise(table, "advertise"),
+		SnapshotEntries: int(table.Int("snapshot_entries", defaultSnapshotEntries, minSnapshotEntries, maxSnapshotEntries)),
+		ReplaceAfter:    table.Duration("replace_after", defaultReplaceAfter, minReplaceAfter, maxReplaceAfter),
 	}
 	for _, member := range table.Tables("members") {
 		control.Members = append(control.Members, readMember(member))
@@ -35,6 +36,7 @@
 		Name:          readName(table, "name"),
 		Address:       readAdvertise(table, "address"),
 		FailureDomain: readName(table, "failure_domain"),
+		Dial:          readAdvertise(table, "dial"),
 		Spare:         table.Bool("spare", false),
 	}
 	table.Finish()
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -12,20 +12,23 @@
 
 // Defaults and bounds.
 const (
-	defaultReplaceAfter   = 30 * time.Second
-	minReplaceAfter       = 5 * time.Second
-	maxReplaceAfter       = 24 * time.Hour
-	defaultBalancerDelay  = 5 * time.Second
-	defaultDrainDelay     = 10 * time.Second
-	defaultDrainTimeout   = 60 * time.Second
-	maxDrainTimeout       = time.Hour
-	defaultQueueLength    = 4096
-	maxQueueLength        = 1 << 20
-	defaultRequestTimeout = 10 * time.Second
-	minRequestTimeout     = 10 * time.Millisecond
-	maxRequestTimeout     = time.Hour
-	defaultMaxBody        = 8 << 20 // bytes
-	maxMaxBody            = 1 << 30 // bytes
+	defaultReplaceAfter    = 30 * time.Second
+	defaultSnapshotEntries = 20_000 // log entries
+	minSnapshotEntries     = 100
+	maxSnapshotEntries     = 1_000_000
+	minReplaceAfter        = 5 * time.Second
+	maxReplaceAfter        = 24 * time.Hour
+	defaultBalancerDelay   = 5 * time.Second
+	defaultDrainDelay      = 10 * time.Second
+	defaultDrainTimeout    = 60 * time.Second
+	maxDrainTimeout        = time.Hour
+	defaultQueueLength     = 4096
+	maxQueueLength         = 1 << 20
+	defaultRequestTimeout  = 10 * time.Second
+	minRequestTimeout      = 10 * time.Millisecond
+	maxRequestTimeout      = time.Hour
+	defaultMaxBody         = 8 << 20 // bytes
+	maxMaxBody             = 1 << 30 // bytes
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,6 +27,9 @@
 	Advertise    string   // where the other processes reach this one
 	Members      []Member // every configured control process, this one included
 	ReplaceAfter time.Duration
+	// SnapshotEntries is the number of applied log entries after which a
+	// snapshot is taken and the log before it is dropped.
+	SnapshotEntries int
 }
 
 // Member is one configured control process.
@@ -34,7 +37,8 @@
 	Name          string
 	Address       string // as it advertises itself
 	FailureDomain string
-	Spare         bool // no voter at first; takes the place of a lost one
+	Dial          string // where this process reaches it, if not at Address
+	Spare         bool   // no voter at first; takes the place of a lost one
 }
 
 // Entry holds the entry role's settings.
--- /dev/null
+++ b/test/failure/address_test.go
@@ -0,0 +1,35 @@
+package failure_test
+
+import (
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+)
+
+// Listening ports are taken from below the range that the kernel gives to
+// outgoing connections: a port taken from that range could be lost to one of
+// them while a process restarts.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+var nextPort atomic.Int32
+
+// freeAddress returns a loopback address that nothing listens on and that no
+// other call of this run returns.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	for port := firstPort + int(nextPort.Add(1)); port < lastPort; port = firstPort + int(nextPort.Add(1)) {
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		return address
+	}
+	t.Fatalf("no free port between %d and %d", firstPort, lastPort)
+	return ""
+}
--- /dev/null
+++ b/test/failure/cluster_test.go
@@ -0,0 +1,251 @@
+package failure_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/rpc"
+)
+
+// member is one control process and its fixed place in the cluster.
+type member struct {
+	process
+	address string
+	data    string
+	domain  string
+}
+
+// entry is one entry process.
+type entry struct {
+	process
+	callers  string // host:port
+	announce string // host:port
+	domain   string
+}
+
+// cluster is a set of control and entry processes.
+type cluster struct {
+	t       *testing.T
+	folder  string
+	members []*member
+	entries []*entry
+	client  *rpc.Client
+}
+
+// layout says what to start.
+type layout struct {
+	voters  int
+	spares  int
+	entries int
+	// replaceAfter is how long a voter must be gone before it is replaced;
+	// empty: the daemon's default.
+	replaceAfter string
+	// snapshotEntries is the number of log entries between snapshots; 0: the
+	// daemon's default.
+	snapshotEntries int
+	// dial gives, for a control process, the addresses under which it reaches
+	// others where these differ from what they advertise.
+	dial func(from, to string, address string) string
+	// control gives the address under which an entry reaches a control
+	// process, where it differs from what that advertises.
+	control func(entry, member string, address string) string
+}
+
+// newCluster starts the processes and forms the cluster.
+func newCluster(t *testing.T, l layout) *cluster {
+	t.Helper()
+	c := &cluster{t: t, folder: t.TempDir()}
+	t.Cleanup(c.close)
+	for i := range l.voters + l.spares {
+		c.members = append(c.members, c.newMember(i))
+	}
+	for i := range l.entries {
+		c.entries = append(c.entries, c.newEntry(i))
+	}
+	for _, m := range c.members {
+		c.writeMemberSettings(m, l)
+		m.start()
+	}
+	var addresses []string
+	for _, m := range c.members {
+		addresses = append(addresses, m.address)
+	}
+	c.client = rpc.NewClient(rpc.Options{Addresses: addresses})
+	c.form(l.voters)
+	for _, e := range c.entries {
+		c.writeEntrySettings(e, l)
+		e.start()
+	}
+	return c
+}
+
+func (c *cluster) newMember(i int) *member {
+	name := fmt.Sprintf("control-%d", i+1)
+	return &member{
+		process: c.newProcess(name),
+		address: freeAddress(c.t),
+		data:    filepath.Join(c.folder, name, "data"),
+		domain:  fmt.Sprintf("domain-%d", i%3+1),
+	}
+}
+
+func (c *cluster) newEntry(i int) *entry {
+	return &entry{
+		process:  c.newProcess(fmt.Sprintf("entry-%d", i+1)),
+		callers:  freeAddress(c.t),
+		announce: freeAddress(c.t),
+		domain:   fmt.Sprintf("domain-%d", i%3+1),
+	}
+}
+
+func (c *cluster) newProcess(name string) process {
+	folder := filepath.Join(c.folder, name)
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		c.t.Fatal(err)
+	}
+	return process{
+		t:       c.t,
+		name:    name,
+		config:  filepath.Join(folder, "settings.toml"),
+		logPath: filepath.Join(folder, "log"),
+	}
+}
+
+func (c *cluster) writeMemberSettings(m *member, l layout) {
+	var text strings.Builder
+	fmt.Fprintf(&text, "name = %q\nregion = \"region-1\"\nfailure_domain = %q\ndata = %q\n", m.name, m.domain, m.data)
+	fmt.Fprintf(&text, "[control]\nlisten = %q\nadvertise = %q\n", m.address, m.address)
+	if l.snapshotEntries != 0 {
+		fmt.Fprintf(&text, "snapshot_entries = %d\n", l.snapshotEntries)
+	}
+	if l.replaceAfter != "" {
+		fmt.Fprintf(&text, "replace_after = %q\n", l.replaceAfter)
+	}
+	for i, other := range c.members {
+		fmt.Fprintf(&text, "[[control.members]]\nname = %q\naddress = %q\nfailure_domain = %q\nspare = %t\n",
+			other.name, other.address, other.domain, i >= l.voters)
+		if l.dial != nil && other != m {
+			fmt.Fprintf(&text, "dial = %q\n", l.dial(m.name, other.name, other.address))
+		}
+	}
+	c.writeSettings(&m.process, text.String())
+}
+
+func (c *cluster) writeEntrySettings(e *entry, l layout) {
+	var addresses []string
+	for _, m := range c.members {
+		address := m.address
+		if l.control != nil {
+			address = l.control(e.name, m.name, address)
+		}
+		addresses = append(addresses, fmt.Sprintf("%q", address))
+	}
+	c.writeSettings(&e.process, fmt.Sprintf(`name = %q
+region = "region-1"
+failure_domain = %q
+[entry]
+listen = %q
+announce_listen = %q
+advertise = %q
+balancer_delay = "500ms"
+drain_delay = "500ms"
+control = [%s]
+`, e.name, e.domain, e.callers, e.announce, e.callers, strings.Join(addresses, ", ")))
+}
+
+func (c *cluster) writeSettings(p *process, text string) {
+	if err := os.WriteFile(p.config, []byte(text), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *cluster) form(voters int) {
+	c.t.Helper()
+	var members []*apiv1.Member
+	for _, m := range c.members[:voters] {
+		members = append(members, &apiv1.Member{Name: m.name, Address: m.address, FailureDomain: m.domain})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, err := c.client.Control().InitCluster(ctx, &apiv1.InitClusterRequest{Members: members, Operator: "test"})
+	is.New(c.t).NoErr(err)
+}
+
+func (c *cluster) close() {
+	for _, m := range c.members {
+		if c.t.Failed() {
+			m.showLog()
+		}
+		m.kill()
+	}
+	for _, e := range c.entries {
+		if c.t.Failed() {
+			e.showLog()
+		}
+		e.kill()
+	}
+	if c.client != nil {
+		c.client.Close()
+	}
+}
+
+// status returns the leader's view of the cluster.
+func (c *cluster) status() (*apiv1.ClusterStatusResponse, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return c.client.Control().ClusterStatus(ctx, &apiv1.ClusterStatusRequest{})
+}
+
+// leader returns the control process that leads.
+func (c *cluster) leader() *member {
+	c.t.Helper()
+	var found *member
+	c.await("a leader", func() bool {
+		status, err := c.status()
+		if err != nil {
+			return false
+		}
+		for _, info := range status.GetMembers() {
+			if info.GetLeader() {
+				found = c.member(info.GetName())
+			}
+		}
+		return found != nil
+	})
+	return found
+}
+
+// follower returns a running control process that does not lead.
+func (c *cluster) follower() *member {
+	c.t.Helper()
+	leader := c.leader()
+	for _, m := range c.members {
+		if m != leader && m.running() {
+			return m
+		}
+	}
+	c.t.Fatal("no follower runs")
+	return nil
+}
+
+func (c *cluster) member(name string) *member {
+	for _, m := range c.members {
+		if m.name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+// await waits until the condition holds and fails the test otherwise.
+func (c *cluster) await(what string, condition func() bool) {
+	c.t.Helper()
+	await(c.t, what, condition)
+}
--- /dev/null
+++ b/test/failure/control_test.go
@@ -0,0 +1,99 @@
+package failure_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+)
+
+// pastEveryTimeout is longer than the leases and election time-outs together.
+const pastEveryTimeout = 6 * time.Second
+
+// progress waits until the operators have had that many more publications
+// acknowledged.
+func progress(c *cluster, o *operators, more int64) {
+	c.t.Helper()
+	from := o.applied.Load()
+	c.await("publications to go on", func() bool { return o.applied.Load() >= from+more })
+}
+
+// finish stops the operators, checks their history and that the last
+// acknowledged publication was not lost.
+func finish(c *cluster, o *operators) {
+	c.t.Helper()
+	history := o.finish()
+	history.check(c.t)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	response, err := c.client.Control().GetConfiguration(ctx, &apiv1.GetConfigurationRequest{})
+	is := is.New(c.t)
+	is.NoErr(err)
+	is.True(response.GetRevision() >= o.revision.Load()) // an acknowledged revision was lost
+}
+
+func TestLeaderAndFollowersKilledUnderWrites(t *testing.T) {
+	c := newCluster(t, layout{voters: 5})
+	o := startOperators(t, c, 4)
+	progress(c, o, 20)
+	for range 3 {
+		leader := c.leader()
+		leader.kill()
+		progress(c, o, 20)
+		leader.start()
+		follower := c.follower()
+		follower.kill()
+		progress(c, o, 20)
+		follower.start()
+	}
+	finish(c, o)
+}
+
+func TestLeaderFrozenPastEveryTimeoutThenThawed(t *testing.T) {
+	c := newCluster(t, layout{voters: 3})
+	o := startOperators(t, c, 4)
+	progress(c, o, 20)
+	for range 2 {
+		leader := c.leader()
+		leader.freeze()
+		frozen := time.Now()
+		progress(c, o, 50)
+		c.await("the freeze to outlast every timeout", func() bool { return time.Since(frozen) > pastEveryTimeout })
+		leader.thaw()
+		progress(c, o, 50)
+	}
+	finish(c, o)
+}
+
+func TestEightOperatorsRaceWithEqualVersionsAndResend(t *testing.T) {
+	c := newCluster(t, layout{voters: 3})
+	o := startOperators(t, c, 8)
+	progress(c, o, 100)
+	c.leader().kill() // answers get lost
+	progress(c, o, 100)
+	finish(c, o)
+}
+
+func TestVoterRestartedFarBehind(t *testing.T) {
+	const changes = 500
+	// The log before a snapshot is dropped long before the voter comes back.
+	c := newCluster(t, layout{voters: 3, snapshotEntries: 100})
+	o := startOperators(t, c, 4)
+	progress(c, o, 10)
+	behind := c.follower()
+	behind.kill()
+	progress(c, o, changes)
+	behind.start()
+	// The other follower goes: every further publication needs the restarted one.
+	leader := c.leader()
+	for _, m := range c.members {
+		if m != leader && m != behind {
+			m.kill()
+		}
+	}
+	progress(c, o, 20)
+	finish(c, o)
+}
--- /dev/null
+++ b/test/failure/main_test.go
@@ -0,0 +1,33 @@
+package failure_test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// daemonPath is the daemon under test, built once for all tests.
+var daemonPath string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "pistachioport-failure-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	daemonPath = filepath.Join(folder, "pistachiod")
+	build := exec.Command("go", "build", "-o", daemonPath, "../../cmd/pistachiod")
+	build.Stdout, build.Stderr = os.Stdout, os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "build pistachiod:", err)
+		return 1
+	}
+	return m.Run()
+}
--- /dev/null
+++ b/test/failure/operator_test.go
@@ -0,0 +1,127 @@
+package failure_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/rpc"
+)
+
+// callLimit is how long an operator waits for one answer before the call's
+// fate counts as unknown.
+const callLimit = 3 * time.Second
+
+// operators publish and read at once, each through a client of its own, and
+// record what they see.
+type operators struct {
+	history  *history
+	stop     chan struct{}
+	done     sync.WaitGroup
+	applied  atomic.Int64
+	revision atomic.Uint64 // highest acknowledged
+}
+
+// startOperators runs the given number of operators against the members.
+func startOperators(t *testing.T, c *cluster, count int) *operators {
+	t.Helper()
+	o := &operators{history: newHistory(), stop: make(chan struct{})}
+	var addresses []string
+	for _, m := range c.members {
+		addresses = append(addresses, m.address)
+	}
+	for id := range count {
+		client := rpc.NewClient(rpc.Options{Addresses: addresses, AttemptTimeout: time.Second})
+		o.done.Add(1)
+		go func() {
+			defer o.done.Done()
+			defer client.Close()
+			o.run(id, client.Control())
+		}()
+	}
+	return o
+}
+
+// finish stops the operators and returns their history.
+func (o *operators) finish() *history {
+	close(o.stop)
+	o.done.Wait()
+	return o.history
+}
+
+func (o *operators) run(id int, control apiv1.Control) {
+	for call := 0; ; call++ {
+		select {
+		case <-o.stop:
+			return
+		default:
+		}
+		base, content, ok := o.read(id, control)
+		if !ok {
+			continue
+		}
+		next := fmt.Sprintf("operator-%d-call-%d", id, call)
+		o.publish(id, control, base, content, next)
+	}
+}
+
+func (o *operators) read(id int, control apiv1.Control) (revision uint64, content string, ok bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	called := o.history.now()
+	response, err := control.GetConfiguration(ctx, &apiv1.GetConfigurationRequest{})
+	if err != nil {
+		return 0, "", false // a read without an answer says nothing
+	}
+	content = contentOf(response.GetConfiguration())
+	o.history.add(id, called, historyInput{kind: opRead}, historyOutput{content: content})
+	return response.GetRevision(), content, true
+}
+
+func (o *operators) publish(id int, control apiv1.Control, base uint64, seen, content string) {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	in := historyInput{kind: opPublish, base: seen, content: content}
+	called := o.history.now()
+	response, err := control.Publish(ctx, &apiv1.PublishRequest{
+		BaseRevision:  base,
+		Configuration: configurationOf(content),
+		Operator:      fmt.Sprintf("operator-%d", id),
+	})
+	if err != nil {
+		o.history.add(id, called, in, historyOutput{unknown: true})
+		return
+	}
+	conflict := response.GetResult().GetStatus() == apiv1.PublishResult_STATUS_CONFLICT
+	o.history.add(id, called, in, historyOutput{conflict: conflict})
+	if conflict {
+		return
+	}
+	o.applied.Add(1)
+	for revision := response.GetResult().GetRevision(); ; {
+		highest := o.revision.Load()
+		if revision <= highest || o.revision.CompareAndSwap(highest, revision) {
+			return
+		}
+	}
+}
+
+// configurationOf returns a valid configuration that carries the content as
+// the name of its one team.
+func configurationOf(content string) *apiv1.Configuration {
+	return &apiv1.Configuration{Teams: []*apiv1.Team{{
+		Name:  content,
+		Quota: &apiv1.Resources{CpuMillis: 1000, MemoryBytes: 1 << 30},
+	}}}
+}
+
+func contentOf(configuration *apiv1.Configuration) string {
+	if teams := configuration.GetTeams(); len(teams) > 0 {
+		return teams[0].GetName()
+	}
+	return ""
+}
--- /dev/null
+++ b/test/failure/process_test.go
@@ -0,0 +1,100 @@
+package failure_test
+
+import (
+	"os"
+	"os/exec"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// stopGrace is how long a process may take to end after SIGTERM.
+const stopGrace = 60 * time.Second
+
+// process is one daemon under test.
+type process struct {
+	t       *testing.T
+	name    string
+	config  string // path of the settings file
+	logPath string
+
+	command *exec.Cmd
+	exited  chan error
+}
+
+// start runs the daemon with the process's settings file.
+func (p *process) start() {
+	p.t.Helper()
+	is := is.New(p.t)
+	log, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	is.NoErr(err)
+	p.command = exec.Command(daemonPath, "run", p.config)
+	p.command.Stdout, p.command.Stderr = log, log
+	is.NoErr(p.command.Start())
+	exited := make(chan error, 1)
+	command := p.command
+	go func() {
+		exited <- command.Wait()
+		_ = log.Close()
+	}()
+	p.exited = exited
+}
+
+// running reports whether the process was started and not yet killed or stopped.
+func (p *process) running() bool {
+	return p.command != nil
+}
+
+// kill ends the process as a lost VM does, without any chance to act.
+func (p *process) kill() {
+	if !p.running() {
+		return
+	}
+	_ = p.command.Process.Signal(syscall.SIGKILL)
+	<-p.exited
+	p.command = nil
+}
+
+// freeze and thaw stop the process and let it go on.
+func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
+func (p *process) thaw()   { p.signal(syscall.SIGCONT) }
+
+func (p *process) signal(s syscall.Signal) {
+	p.t.Helper()
+	if err := p.command.Process.Signal(s); err != nil {
+		p.t.Fatalf("%s: signal %v: %v", p.name, s, err)
+	}
+}
+
+// terminate asks for a clean shutdown and fails the test if it does not end
+// with exit code 0 in time.
+func (p *process) terminate() {
+	p.t.Helper()
+	p.signal(syscall.SIGTERM)
+	select {
+	case err := <-p.exited:
+		if err != nil {
+			p.t.Errorf("%s: clean shutdown ended with %v", p.name, err)
+		}
+	case <-time.After(stopGrace):
+		p.t.Errorf("%s: still running %v after SIGTERM", p.name, stopGrace)
+		p.kill()
+		return
+	}
+	p.command = nil
+}
+
+// showLog prints the end of the process's log when the test failed.
+func (p *process) showLog() {
+	const most = 4000 // bytes
+	text, err := os.ReadFile(p.logPath)
+	if err != nil {
+		return
+	}
+	if len(text) > most {
+		text = text[len(text)-most:]
+	}
+	p.t.Logf("log of %s:\n%s", p.name, text)
+}
