--- /dev/null
+++ b/internal/state/retention_test.go
@@ -0,0 +1,93 @@
+package state_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/state"
+)
+
+// retained is more than the store keeps of any history.
+const retained = 20000
+
+func TestFollowerBehindTheKeptHistoryIsReset(t *testing.T) {
+	is := is.New(t)
+	store := state.New(state.Options{})
+	store.Apply(1, announce(endpoint("kept", 1)))
+	behind := store.Revision()
+	store.Apply(2, announce(endpoint("gone", 1)))
+	store.Apply(3, expire("gone", store.Revision()))
+	is.Equal(store.EndpointsSince(behind).Gone, []string{"gone"})
+	for i := range retained {
+		store.Apply(uint64(4+i), announce(endpoint("busy", 1+i%2)))
+	}
+	delta := store.EndpointsSince(behind)
+	is.True(delta.Reset)
+	is.Equal(len(delta.Changed), 2)
+	is.True(!store.EndpointsSince(store.Revision() - 1).Reset)
+}
+
+func TestForgottenPublicationIsNotAppliedAgain(t *testing.T) {
+	is := is.New(t)
+	store := state.New(state.Options{})
+	first := publish(0, "ana", configuration("first"))
+	store.Apply(1, first)
+	for i := range retained {
+		c := configuration("a")
+		c.Jobs[0].Generation = fmt.Sprint(i)
+		result := store.Apply(uint64(2+i), publish(store.ConfigurationRevision(), "bo", c)).GetPublish()
+		is.Equal(result.GetStatus(), apiv1.PublishResult_STATUS_APPLIED)
+	}
+	result := store.Apply(retained+2, first).GetPublish()
+	is.Equal(result.GetStatus(), apiv1.PublishResult_STATUS_CONFLICT)
+	is.Equal(result.GetWinner(), "bo")
+	is.Equal(result.GetCurrentRevision(), store.ConfigurationRevision())
+}
+
+func TestWithdrawnIDIsBarredForAnHourOfTheReplicatedClock(t *testing.T) {
+	is := is.New(t)
+	const hour = 60 * 60 * 1000
+	store := state.New(state.Options{})
+	at := func(now int64, command *apiv1.Command) *apiv1.CommandResult {
+		command.LeaderUnixMs = now
+		return store.Apply(store.Applied()+1, command)
+	}
+	at(0, withdraw("a")) // before its announcement arrives
+	refused := at(hour, announce(endpoint("a", 1))).GetEndpoint().GetRefused()
+	is.Equal(refused[0].GetCode(), string(state.RefusalWithdrawn))
+	is.Equal(len(at(hour+1, announce(endpoint("a", 1))).GetEndpoint().GetRefused()), 0)
+}
+
+func TestAuditKeepsPublicationsThroughChurnOfEndpoints(t *testing.T) {
+	is := is.New(t)
+	store := state.New(state.Options{})
+	store.Apply(1, publish(0, "ana", configuration("plans")))
+	for i := range retained {
+		store.Apply(uint64(2+i), announce(endpoint("busy", 1+i%2)))
+	}
+	records := store.Audit(0, "plans", 0)
+	is.Equal(len(records), 1)
+	is.Equal(records[0].GetActor(), "ana")
+	is.Equal(records[0].GetChanged(), []string{"plans", "team"})
+	all := store.Audit(0, "", retained)
+	is.True(len(all) < retained)
+	is.Equal(all[len(all)-1].GetAction(), state.ActionAnnounce)
+}
+
+func TestAuditListsByTimeObjectAndLimit(t *testing.T) {
+	is := is.New(t)
+	store := state.New(state.Options{})
+	for i := range 10 {
+		command := announce(endpoint(fmt.Sprintf("e%d", i%2), 1+i))
+		command.LeaderUnixMs = int64(100 * i)
+		store.Apply(uint64(i+1), command)
+	}
+	is.Equal(len(store.Audit(500, "", 0)), 5)
+	is.Equal(len(store.Audit(500, "e1", 0)), 3)
+	last := store.Audit(0, "", 2)
+	is.Equal(len(last), 2)
+	is.Equal(last[1].GetUnixMs(), int64(900)) // the newest, oldest first
+}
