Replace lost voters, form clusters

Cause: nobody is awake at night to replace a control VM, and a cluster could not be formed of several processes.

Change: repair.Next decides one step from what the leader sees; the driver does it, and keeps nothing between two steps but the replicated membership. A voter whose VM answers as another incarnation for 30 s is replaced by that one; a VM silent for 2 min by the spare that leaves the voters spread best.

Ruled out: promoting the newcomer before the dead voter is removed. With 3 voters that makes 4, of which 3 must answer: the loss of the newcomer right after its promotion would stop a cluster that two voters could have carried on. Removing first, once the learner has caught up, never needs the newcomer's vote. An even number of voters tells the next leader that a place is free.

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/pistachioport/pistachioport/internal/clock"
+	"github.com/pistachioport/pistachioport/internal/control/repair"
 	"github.com/pistachioport/pistachioport/internal/replica"
 	"github.com/pistachioport/pistachioport/internal/state"
 )
@@ -17,6 +18,8 @@
 	defaultEntryLease    = 4 * time.Second
 	defaultEndpointLease = 6 * time.Second
 	defaultDrift         = 0.05 // share by which two machines' clock rates may differ
+	defaultLostAfter     = 30 * time.Second
+	defaultGoneAfter     = 2 * time.Minute
 )
 
 // Peer is a control process as the settings name it.
@@ -45,6 +48,9 @@
 	EntryLease    time.Duration
 	EndpointLease time.Duration
 	Drift         float64
+
+	Repair         repair.Limits // when a silent voter is replaced
+	RepairInterval time.Duration // between two looks at the membership
 }
 
 func (c Config) withDefaults() (Config, error) {
@@ -66,5 +72,14 @@
 	if c.Drift == 0 {
 		c.Drift = defaultDrift
 	}
+	if c.Repair.LostAfter == 0 {
+		c.Repair.LostAfter = defaultLostAfter
+	}
+	if c.Repair.GoneAfter == 0 {
+		c.Repair.GoneAfter = defaultGoneAfter
+	}
+	if c.RepairInterval == 0 {
+		c.RepairInterval = repairInterval
+	}
 	return c, nil
 }
--- a/internal/control/fake_log_test.go
+++ b/internal/control/fake_log_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"google.golang.org/protobuf/proto"
@@ -85,6 +86,12 @@
 	}
 }
 
+func (f *fakeLog) membershipChanges() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.changes)
+}
+
 func (f *fakeLog) barrierCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/internal/control/formation_test.go
@@ -0,0 +1,102 @@
+package control_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/twitchtv/twirp"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/clock"
+	"github.com/pistachioport/pistachioport/internal/control"
+	"github.com/pistachioport/pistachioport/internal/state"
+)
+
+// emptyProcess is a control process that belongs to no cluster.
+type emptyProcess struct {
+	name    string
+	address string
+	log     *fakeLog
+	peer    *fakePeer
+}
+
+func startEmpty(t *testing.T, name string, incarnation uint64) *emptyProcess {
+	t.Helper()
+	store := state.New(state.Options{})
+	log := newFakeLog(store)
+	log.status.ClusterID = ""
+	log.status.Incarnation = incarnation
+	log.status.Membership = nil
+	server, err := control.New(control.Config{
+		Log:   log,
+		Store: store,
+		Clock: clock.NewManual(time.Unix(1_700_000_000, 0)),
+		Name:  name,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer := &fakePeer{answer: &apiv1.IdentifyResponse{Name: name, Incarnation: incarnation}}
+	mux := http.NewServeMux()
+	mux.Handle("/", server.Handler())
+	mux.Handle(apiv1.PeerPathPrefix, apiv1.NewPeerServer(peer))
+	listener := httptest.NewServer(mux)
+	t.Cleanup(listener.Close)
+	return &emptyProcess{name: name, address: listener.Listener.Addr().String(), log: log, peer: peer}
+}
+
+func (p *emptyProcess) member() *apiv1.Member {
+	return &apiv1.Member{Name: p.name, Address: p.address}
+}
+
+func (p *emptyProcess) init(t *testing.T, members ...*apiv1.Member) (string, error) {
+	t.Helper()
+	client := apiv1.NewControlProtobufClient("http://"+p.address, http.DefaultClient)
+	answer, err := client.InitCluster(t.Context(), &apiv1.InitClusterRequest{Members: members, Operator: "ana"})
+	return answer.GetClusterId(), err
+}
+
+func TestClusterIsFormedOnceOfTheNamedMembers(t *testing.T) {
+	is := is.New(t)
+	a, b, c, d := startEmpty(t, "a", 1), startEmpty(t, "b", 2), startEmpty(t, "c", 3), startEmpty(t, "d", 4)
+	id, err := a.init(t, a.member(), b.member(), c.member())
+	is.NoErr(err)
+	for _, each := range []*emptyProcess{a, b, c} {
+		is.Equal(each.log.Status().ClusterID, id)
+		each.peer.answer.ClusterId = id
+	}
+	again, err := b.init(t, c.member(), b.member(), a.member()) // any process, any order
+	is.NoErr(err)
+	is.Equal(again, id)
+	_, err = a.init(t, a.member(), b.member(), d.member())
+	is.Equal(code(err), twirp.FailedPrecondition)
+	is.Equal(d.log.Status().ClusterID, "")
+}
+
+func TestClusterIsNotFormedOfTheWrongMembers(t *testing.T) {
+	is := is.New(t)
+	a, b, c := startEmpty(t, "a", 1), startEmpty(t, "b", 2), startEmpty(t, "c", 3)
+	_, err := a.init(t)
+	is.Equal(code(err), twirp.InvalidArgument)
+	_, err = a.init(t, a.member(), b.member())
+	is.Equal(code(err), twirp.InvalidArgument)
+	_, err = a.init(t, a.member(), b.member(), b.member())
+	is.Equal(code(err), twirp.InvalidArgument)
+	_, err = a.init(t, a.member(), b.member(), &apiv1.Member{Name: "x", Address: c.address})
+	is.Equal(code(err), twirp.Unavailable)
+	_, err = a.init(t, a.member(), b.member(), &apiv1.Member{Name: "c", Address: "127.0.0.1:1"})
+	is.Equal(code(err), twirp.Unavailable)
+	is.Equal(a.log.Status().ClusterID, "")
+}
+
+func code(err error) twirp.ErrorCode {
+	var answer twirp.Error
+	if errors.As(err, &answer) {
+		return answer.Code()
+	}
+	return twirp.NoError
+}
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -59,6 +59,7 @@
 func (l *leadership) start() {
 	l.run("formation", l.recordFormation)
 	l.run("expiry", l.expireLeases)
+	l.run("repair", l.repairMembership)
 	if l.server.Placement != nil {
 		l.run("placement", l.server.Placement.Run)
 	}
--- /dev/null
+++ b/internal/control/repair/view.go
@@ -0,0 +1,37 @@
+package repair
+
+import (
+	"time"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+)
+
+// View is what the leader sees.
+type View struct {
+	ClusterID string
+	Voters    []Member
+	Learners  []Member
+	Peers     []Peer
+	Limits    Limits
+}
+
+// Limits are the times after which a member counts as dead.
+type Limits struct {
+	LostAfter time.Duration // unreachable, while its VM answers as another incarnation
+	GoneAfter time.Duration // unreachable, while nothing answers for it
+}
+
+// Member is one incarnation of the membership.
+type Member struct {
+	Info     *apiv1.MemberInfo
+	Silent   time.Duration // since it last answered the leader; zero for the leader
+	CaughtUp bool          // its log is close to the leader's end
+}
+
+// Peer is a configured control process and what it answers at present.
+type Peer struct {
+	Name          string
+	Address       string
+	FailureDomain string
+	Answer        *apiv1.IdentifyResponse // nil: no answer
+}
--- /dev/null
+++ b/internal/control/repair_driver_test.go
@@ -0,0 +1,79 @@
+package control_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/control"
+	"github.com/pistachioport/pistachioport/internal/control/repair"
+	"github.com/pistachioport/pistachioport/internal/replica"
+	"github.com/pistachioport/pistachioport/internal/state"
+)
+
+// fakePeer answers who it is.
+type fakePeer struct {
+	apiv1.Peer
+	answer *apiv1.IdentifyResponse
+}
+
+func (f *fakePeer) Identify(context.Context, *apiv1.IdentifyRequest) (*apiv1.IdentifyResponse, error) {
+	return f.answer, nil
+}
+
+// servePeer serves a process that answers under the name and returns its address.
+func servePeer(t *testing.T, name string, incarnation uint64) string {
+	t.Helper()
+	peer := &fakePeer{answer: &apiv1.IdentifyResponse{Name: name, Incarnation: incarnation}}
+	server := httptest.NewServer(apiv1.NewPeerServer(peer))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func TestLeaderReplacesAVoterWhoseDiskWasLost(t *testing.T) {
+	is := is.New(t)
+	const old, replacement = 3, 9
+	addresses := map[string]string{
+		"control-1": servePeer(t, "control-1", 1),
+		"control-2": servePeer(t, "control-2", 2),
+		"control-3": servePeer(t, "control-3", replacement),
+	}
+	r := newRig(t, func(config *control.Config) {
+		config.Repair = repair.Limits{LostAfter: 30 * time.Second, GoneAfter: time.Minute}
+		config.RepairInterval = time.Millisecond
+		for name, address := range addresses {
+			config.Peers = append(config.Peers, control.Peer{Name: name, Address: address})
+		}
+	})
+	r.log.update(func() {
+		membership := &apiv1.Membership{}
+		for i, name := range []string{"control-1", "control-2", "control-3"} {
+			membership.Voters = append(membership.Voters, &apiv1.MemberInfo{
+				Incarnation: uint64(i + 1),
+				Name:        name,
+				Address:     addresses[name],
+			})
+		}
+		r.log.status.Membership = membership
+		r.log.status.Commit = 10
+		r.log.status.Progress = map[uint64]replica.Progress{
+			2:           {Match: 10},
+			old:         {Match: 5, LastContact: 40 * time.Second},
+			replacement: {Match: 10},
+		}
+	})
+	r.lead()
+	r.eventually("the voter is replaced", func() bool {
+		membership := r.log.Status().Membership
+		return len(membership.GetVoters()) == 3 && membership.GetVoters()[2].GetIncarnation() == replacement
+	})
+	is.Equal(r.log.membershipChanges(), []string{"add control-3", "remove control-3", "promote control-3"})
+	r.eventually("the changes are in the audit trail", func() bool {
+		return len(r.store.Audit(0, "control-3", 0)) == 3
+	})
+	is.Equal(r.store.Audit(0, "control-3", 0)[1].GetAction(), state.ActionMemberRemove)
+}
