Client: stale hints, silent connections, kinds of failure

Cause: after a leader dies, the others go on naming it, and the client went back to it at every refusal, each time for a whole attempt. A call in use while another one timed out put its connection, of the same age, back into the pool.

Change: an address that failed is passed over for 1 s, whoever names it; after a failed attempt the address gets a new pool, and what the old one has in use is closed when its call ends. A caller with little time left does not make the leader suspect. Pauses grow to four times the first and are half random. Calls without a deadline get one. A too large answer is not asked for again. IsUnreachable and IsRefused tell failures apart, for exit codes.

State: go test -race -count=2 ./internal/rpc ok. Seen failing on a scratch copy without the respective change: stale hints, the kept pool, the short call.

--- /dev/null
+++ b/internal/rpc/failover_test.go
@@ -0,0 +1,215 @@
+package rpc_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/twitchtv/twirp"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/rpc"
+)
+
+// lookups answers lookups by the function.
+type lookups struct {
+	apiv1.Claims
+	answer func(ctx context.Context, key string) (*apiv1.LookupResponse, error)
+	calls  atomic.Int64
+}
+
+func (l *lookups) Lookup(ctx context.Context, request *apiv1.LookupRequest) (*apiv1.LookupResponse, error) {
+	l.calls.Add(1)
+	return l.answer(ctx, request.GetKey())
+}
+
+// silentListener accepts connections and never answers.
+type silentListener struct {
+	net.Listener
+	accepted atomic.Int64
+}
+
+func listenSilently(t *testing.T) *silentListener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	silent := &silentListener{Listener: listener}
+	var connections []net.Conn
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			silent.accepted.Add(1)
+			connections = append(connections, connection)
+		}
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		<-done
+		for _, connection := range connections {
+			_ = connection.Close()
+		}
+	})
+	return silent
+}
+
+func TestClientDoesNotFollowAHintAtALeaderThatJustFailed(t *testing.T) {
+	is := is.New(t)
+	const refusals = 10 // until the follower is elected
+	dead := listenSilently(t)
+	deadAddress := dead.Addr().String()
+	follower := &lookups{}
+	follower.answer = func(context.Context, string) (*apiv1.LookupResponse, error) {
+		if follower.calls.Load() <= refusals {
+			return nil, rpc.NotLeader(deadAddress)
+		}
+		return &apiv1.LookupResponse{Found: true}, nil
+	}
+	client := rpc.NewClient(rpc.Options{
+		Addresses:      []string{deadAddress, serve(t, apiv1.NewClaimsServer(follower))},
+		AttemptTimeout: 200 * time.Millisecond,
+		RetryPause:     time.Millisecond,
+	})
+	defer client.Close()
+	response, err := lookup(client, 30*time.Second)
+	is.NoErr(err)
+	is.True(response.GetFound())
+	is.True(dead.accepted.Load() < refusals/2) // most hints were passed over
+}
+
+func TestConnectionsOfBeforeATimeoutAreNotUsedAgain(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	started := make(chan struct{}, 1)
+	service := &lookups{answer: func(ctx context.Context, key string) (*apiv1.LookupResponse, error) {
+		switch key {
+		case "slow":
+			started <- struct{}{}
+			<-release
+		case "stuck":
+			<-ctx.Done()
+		}
+		return &apiv1.LookupResponse{}, nil
+	}}
+	var mu sync.Mutex
+	var remotes []string
+	inner := apiv1.NewClaimsServer(service)
+	address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		remotes = append(remotes, r.RemoteAddr)
+		mu.Unlock()
+		inner.ServeHTTP(w, r)
+	}))
+	client := rpc.NewClient(rpc.Options{Addresses: []string{address}})
+	defer client.Close()
+
+	slow := make(chan error, 1)
+	go func() {
+		ctx := rpc.WithAttemptTimeout(context.Background(), 30*time.Second)
+		_, err := client.Claims().Lookup(ctx, &apiv1.LookupRequest{Key: "slow"})
+		slow <- err
+	}()
+	<-started
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, err := client.Claims().Lookup(ctx, &apiv1.LookupRequest{Key: "stuck"})
+	is.True(err != nil)
+	close(release)
+	is.NoErr(<-slow)
+	_, err = lookup(client, 30*time.Second)
+	is.NoErr(err)
+	mu.Lock()
+	defer mu.Unlock()
+	last := len(remotes) - 1
+	for _, earlier := range remotes[:last] {
+		is.True(earlier != remotes[last]) // a new connection
+	}
+}
+
+func TestShortCallDoesNotMakeTheLeaderSuspect(t *testing.T) {
+	is := is.New(t)
+	leader := &lookups{answer: func(ctx context.Context, key string) (*apiv1.LookupResponse, error) {
+		if key == "stuck" {
+			<-ctx.Done()
+		}
+		return &apiv1.LookupResponse{}, nil
+	}}
+	address := serve(t, apiv1.NewClaimsServer(leader))
+	client := rpc.NewClient(rpc.Options{Addresses: []string{address}, AttemptTimeout: time.Minute})
+	defer client.Close()
+	_, err := lookup(client, 30*time.Second)
+	is.NoErr(err)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err = client.Claims().Lookup(ctx, &apiv1.LookupRequest{Key: "stuck"})
+	is.True(rpc.IsUnreachable(err))
+	is.Equal(client.Leader(), address)
+}
+
+func TestTooLargeAnswerIsNotAskedForAgain(t *testing.T) {
+	is := is.New(t)
+	service := &lookups{answer: func(context.Context, string) (*apiv1.LookupResponse, error) {
+		return &apiv1.LookupResponse{State: &apiv1.ClaimState{RequestDigest: make([]byte, 2000)}}, nil
+	}}
+	client := rpc.NewClient(rpc.Options{Addresses: []string{serve(t, apiv1.NewClaimsServer(service))}, MaxResponse: 1000})
+	defer client.Close()
+	_, err := lookup(client, 30*time.Second)
+	is.True(err != nil)
+	is.Equal(service.calls.Load(), int64(1))
+}
+
+func TestCallWithoutADeadlineEnds(t *testing.T) {
+	is := is.New(t)
+	client := rpc.NewClient(rpc.Options{
+		Addresses:   []string{serve(t, apiv1.NewClaimsServer(&claims{}))},
+		CallTimeout: 100 * time.Millisecond,
+	})
+	defer client.Close()
+	_, err := client.Claims().Lookup(context.Background(), &apiv1.LookupRequest{Key: "k"})
+	is.True(rpc.IsUnreachable(err))
+}
+
+func TestFailuresAreToldApart(t *testing.T) {
+	answering := func(err error) *lookups {
+		return &lookups{answer: func(context.Context, string) (*apiv1.LookupResponse, error) { return nil, err }}
+	}
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = closed.Close()
+	cases := []struct {
+		name        string
+		address     string
+		unreachable bool
+		refused     bool
+	}{
+		{"nobody listens", closed.Addr().String(), true, false},
+		{"nobody leads", serve(t, apiv1.NewClaimsServer(&claims{})), true, false},
+		{"invalid argument", serve(t, apiv1.NewClaimsServer(answering(twirp.InvalidArgumentError("key", "empty")))), false, true},
+		{"failed precondition", serve(t, apiv1.NewClaimsServer(answering(twirp.NewError(twirp.FailedPrecondition, "no")))), false, true},
+		{"fault of the process", serve(t, apiv1.NewClaimsServer(answering(twirp.InternalError("broken")))), false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			client := rpc.NewClient(rpc.Options{Addresses: []string{c.address}})
+			defer client.Close()
+			_, err := lookup(client, time.Second)
+			is.True(err != nil)
+			is.Equal(rpc.IsUnreachable(err), c.unreachable)
+			is.Equal(rpc.IsRefused(err), c.refused)
+		})
+	}
+}
--- a/internal/rpc/options.go
+++ b/internal/rpc/options.go
@@ -5,15 +5,22 @@
 // Defaults of Options.
 const (
 	defaultAttemptTimeout = 1500 * time.Millisecond
+	defaultDialTimeout    = 500 * time.Millisecond
+	defaultCallTimeout    = 15 * time.Second
 	defaultRetryPause     = 50 * time.Millisecond
 	defaultMaxResponse    = 64 << 20 // bytes
 )
 
+// maxPauseDoublings bounds how much longer than RetryPause a pause gets.
+const maxPauseDoublings = 2
+
 // Options sets a Client up. Zero values mean the defaults.
 type Options struct {
 	Addresses      []string      // host:port of the control processes, in any order
 	AttemptTimeout time.Duration // of one attempt at one address
-	RetryPause     time.Duration // between two rounds over the addresses
+	DialTimeout    time.Duration // of one connection
+	CallTimeout    time.Duration // of a call whose context has no deadline
+	RetryPause     time.Duration // after the first round over the addresses
 	MaxResponse    int64         // bytes
 }
 
@@ -21,6 +28,12 @@
 	if o.AttemptTimeout == 0 {
 		o.AttemptTimeout = defaultAttemptTimeout
 	}
+	if o.DialTimeout == 0 {
+		o.DialTimeout = defaultDialTimeout
+	}
+	if o.CallTimeout == 0 {
+		o.CallTimeout = defaultCallTimeout
+	}
 	if o.RetryPause == 0 {
 		o.RetryPause = defaultRetryPause
 	}
