Test that a connection in use during a timeout is not pooled again

Change: the address is used once more before the slow call ends, as it is in practice.

State: the test now fails with the pool kept (remotes[3] == remotes[0]) and passes 5 times with it retired.

--- a/internal/rpc/failover_test.go
+++ b/internal/rpc/failover_test.go
@@ -125,16 +125,17 @@
 	defer cancel()
 	_, err := client.Claims().Lookup(ctx, &apiv1.LookupRequest{Key: "stuck"})
 	is.True(err != nil)
+	_, err = lookup(client, 30*time.Second) // the address is in use again
+	is.NoErr(err)
 	close(release)
 	is.NoErr(<-slow)
 	_, err = lookup(client, 30*time.Second)
 	is.NoErr(err)
 	mu.Lock()
 	defer mu.Unlock()
-	last := len(remotes) - 1
-	for _, earlier := range remotes[:last] {
-		is.True(earlier != remotes[last]) // a new connection
-	}
+	is.Equal(len(remotes), 4)
+	is.True(remotes[3] != remotes[0]) // the slow call's connection
+	is.True(remotes[3] != remotes[1]) // the stuck call's connection
 }
 
 func TestShortCallDoesNotMakeTheLeaderSuspect(t *testing.T) {
