Entry: lease, routes, queue, forwarding, claims, outcomes, drain; discovery

Cause: callers need the whole answer to their own request, and orders run at most once, while endpoints, entries and control fail. Ruled out: net/http's Transport with the caller's headers as they are.

--- /dev/null
+++ b/internal/discovery/check.go
@@ -0,0 +1,54 @@
+package discovery
+
+import (
+	"net/netip"
+
+	"github.com/twitchtv/twirp"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+)
+
+const (
+	maxName        = 255 // bytes
+	maxSlots       = 10_000
+	maxConnections = 100_000
+)
+
+// checkEndpoint refuses an announcement that can't be used. The error names
+// the field.
+func checkEndpoint(endpoint *apiv1.Endpoint) error {
+	if endpoint == nil {
+		return twirp.RequiredArgumentError("endpoint")
+	}
+	if err := checkID(endpoint.GetId()); err != nil {
+		return err
+	}
+	if endpoint.GetService() == "" || len(endpoint.GetService()) > maxName {
+		return twirp.InvalidArgumentError("endpoint.service", "must have 1 to 255 bytes")
+	}
+	address, err := netip.ParseAddrPort(endpoint.GetAddress())
+	if err != nil || address.Port() == 0 {
+		return twirp.InvalidArgumentError("endpoint.address", "must be an IP number and a port, as in 10.0.0.7:8080")
+	}
+	if endpoint.GetLocation().GetRegion() == "" || endpoint.GetLocation().GetFailureDomain() == "" {
+		return twirp.InvalidArgumentError("endpoint.location", "must have a region and a failure_domain")
+	}
+	return checkCapacity(endpoint)
+}
+
+func checkCapacity(endpoint *apiv1.Endpoint) error {
+	if endpoint.GetSlots() < 1 || endpoint.GetSlots() > maxSlots {
+		return twirp.InvalidArgumentError("endpoint.slots", "must be from 1 to 10000")
+	}
+	if endpoint.GetConnections() < endpoint.GetSlots() || endpoint.GetConnections() > maxConnections {
+		return twirp.InvalidArgumentError("endpoint.connections", "must be from the number of slots to 100000")
+	}
+	return nil
+}
+
+func checkID(id string) error {
+	if id == "" || len(id) > maxName {
+		return twirp.InvalidArgumentError("id", "must have 1 to 255 bytes")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/admit.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+)
+
+const (
+	maxKeyLength    = 255 // bytes
+	maxCallerLength = 255 // bytes
+
+	// statusClientClosed is for callers that went away; nobody reads it.
+	statusClientClosed = 499
+)
+
+// admit finds the request's route and checks its headers.
+func (s *Server) admit(c *call) *problem {
+	r := c.r
+	if hasDotSegment(r.URL.Path) {
+		return notRun(http.StatusBadRequest, codeBadRequest, "path %q contains a dot segment", r.URL.Path)
+	}
+	found, ok := s.view.Load().routes.find(r.URL.Path)
+	if !ok {
+		return notRun(http.StatusNotFound, codeNoRoute, "no service has a route for path %q", r.URL.Path)
+	}
+	if !found.allows(r.Method) {
+		c.w.Header().Set("Allow", strings.Join(found.GetMethods(), ", "))
+		return notRun(http.StatusMethodNotAllowed, codeMethod,
+			"route %q does not take method %s", found.GetPathPrefix(), r.Method)
+	}
+	if r.ContentLength > s.limits.MaxBody {
+		return notRun(http.StatusRequestEntityTooLarge, codeBodyTooLarge,
+			"the body has %d bytes; at most %d are taken", r.ContentLength, s.limits.MaxBody)
+	}
+	c.route = found
+	return s.readHeaders(c)
+}
+
+func (s *Server) readHeaders(c *call) *problem {
+	timeout, refusal := s.timeout(c)
+	if refusal != nil {
+		return refusal
+	}
+	c.deadline = c.begin.Add(timeout)
+	class, refusal := readClass(c)
+	if refusal != nil {
+		return refusal
+	}
+	c.class = class
+	c.caller = callerName(c.r)
+	if len(c.caller) > maxCallerLength {
+		return notRun(http.StatusBadRequest, codeBadRequest, "header %s is longer than %d bytes", headerCaller, maxCallerLength)
+	}
+	return readKey(c)
+}
+
+// timeout returns the route's timeout, or the caller's if it is shorter.
+func (s *Server) timeout(c *call) (time.Duration, *problem) {
+	timeout := time.Duration(c.route.GetTimeoutMs()) * time.Millisecond
+	if timeout <= 0 {
+		timeout = s.limits.DefaultTimeout
+	}
+	timeout = min(timeout, s.limits.MaxTimeout)
+	text := c.r.Header.Get(headerDeadline)
+	if text == "" {
+		return timeout, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms <= 0 {
+		return 0, notRun(http.StatusBadRequest, codeBadRequest,
+			"header %s is %q, not a positive number of milliseconds", headerDeadline, text)
+	}
+	if ms < timeout.Milliseconds() {
+		timeout = time.Duration(ms) * time.Millisecond
+	}
+	return timeout, nil
+}
+
+// readClass returns the route's class, or the caller's if it is less urgent.
+func readClass(c *call) (apiv1.Class, *problem) {
+	text := c.r.Header.Get(headerClass)
+	if text == "" {
+		return c.route.class, nil
+	}
+	value, ok := apiv1.Class_value["CLASS_"+strings.ToUpper(text)]
+	if !ok || value == int32(apiv1.Class_CLASS_UNSPECIFIED) {
+		return 0, notRun(http.StatusBadRequest, codeBadRequest,
+			"header %s is %q; allowed are urgent, normal and bulk", headerClass, text)
+	}
+	return max(c.route.class, apiv1.Class(value)), nil
+}
+
+func readKey(c *call) *problem {
+	values := c.r.Header.Values(headerKey)
+	if len(values) == 0 {
+		return nil
+	}
+	if len(values) > 1 || values[0] == "" || len(values[0]) > maxKeyLength {
+		return notRun(http.StatusBadRequest, codeBadRequest,
+			"header %s must be given once, with 1 to %d bytes", headerKey, maxKeyLength)
+	}
+	c.key = values[0]
+	return nil
+}
--- /dev/null
+++ b/internal/entry/counters.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"github.com/cockroachdb/errors"
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+// counters are the entry's metrics.
+type counters struct {
+	requests    metrics.Counter
+	done        metrics.Counter
+	notRun      metrics.Counter
+	unknown     metrics.Counter
+	brokenOff   metrics.Counter // answers that the endpoint broke off
+	callerGone  metrics.Counter // answers that the caller did not take
+	retries     metrics.Counter
+	failedTries metrics.Counter
+	aborts      metrics.Counter
+	unsettled   metrics.Counter // outcomes that could not be recorded
+	replays     metrics.Counter
+	renewals    metrics.Counter
+	lostLeases  metrics.Counter
+	inFlight    metrics.Gauge
+	waiting     metrics.Gauge
+	linkBytes   metrics.Gauge // bytes over the link between regions so far
+	wait        metrics.Timer // for a slot
+}
+
+func newCounters(registry metrics.Registry) *counters {
+	counter := func(name string) metrics.Counter {
+		return metrics.GetOrRegisterCounter("entry."+name, registry)
+	}
+	gauge := func(name string) metrics.Gauge {
+		return metrics.GetOrRegisterGauge("entry."+name, registry)
+	}
+	return &counters{
+		requests:    counter("requests"),
+		done:        counter("outcome.done"),
+		notRun:      counter("outcome.not_run"),
+		unknown:     counter("outcome.unknown"),
+		brokenOff:   counter("answers.broken_off"),
+		callerGone:  counter("answers.not_taken"),
+		retries:     counter("retries"),
+		failedTries: counter("tries.failed"),
+		aborts:      counter("claims.aborts"),
+		unsettled:   counter("claims.unsettled"),
+		replays:     counter("claims.replays"),
+		renewals:    counter("lease.renewals"),
+		lostLeases:  counter("lease.lost"),
+		inFlight:    gauge("in_flight"),
+		waiting:     gauge("waiting"),
+		linkBytes:   gauge("link.bytes"),
+		wait:        metrics.GetOrRegisterTimer("entry.wait", registry),
+	}
+}
+
+// counted notes how the delivery of an endpoint's answer ended.
+func (s *Server) counted(err error) {
+	switch {
+	case err == nil:
+		s.metrics.done.Inc(1)
+	case errors.Is(err, errCaller):
+		s.metrics.callerGone.Inc(1)
+	default:
+		s.metrics.brokenOff.Inc(1)
+	}
+}
--- /dev/null
+++ b/internal/entry/exchange.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pistachioport/pistachioport/internal/balance"
+)
+
+var (
+	errEndpointLeft = errors.New("the endpoint has left or moved")
+	errOtherAnswer  = errors.New("the answer carries another request's id")
+)
+
+// exchange is one send of a request to one endpoint, and its answer. It is
+// used by one goroutine.
+type exchange struct {
+	call     *call
+	slot     *balance.Slot
+	upstream *upstream
+	begin    time.Time
+	cancel   context.CancelFunc
+
+	conn     *connection
+	before   int64 // bytes written on the connection before this request
+	response *http.Response
+	head     []byte // first bytes of the answer's body
+	whole    bool   // head is the whole body
+}
+
+// exchange sends the request to the slot's endpoint and reads the answer's
+// header and first bytes. The caller must call close.
+func (s *Server) exchange(ctx context.Context, c *call, slot *balance.Slot, b *body) (*exchange, error) {
+	x := &exchange{call: c, slot: slot, begin: time.Now(), cancel: func() {}}
+	if x.upstream = s.upstreams.get(slot); x.upstream == nil {
+		return x, errEndpointLeft
+	}
+	ctx, x.cancel = context.WithCancel(ctx)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: x.gotConn})
+	response, err := x.upstream.transport.RoundTrip(x.request(ctx, b)) //nolint:bodyclose // close does
+	if err != nil {
+		return x, errors.Wrapf(err, "send to endpoint %q", slot.ID)
+	}
+	x.response = response
+	if echoed := response.Header.Get(headerRequest); echoed != "" && echoed != c.id {
+		return x, errors.Wrapf(errOtherAnswer, "endpoint %q", slot.ID)
+	}
+	return x, x.readHead(s.limits.SmallAnswer)
+}
+
+// request builds the request to send. It has a body and no GetBody, and its
+// header hides the idempotency key, so that the Transport never sends it twice.
+func (x *exchange) request(ctx context.Context, b *body) *http.Request {
+	r := x.call.r
+	out := &http.Request{
+		Method: r.Method,
+		URL: &url.URL{
+			Scheme:   "http",
+			Host:     x.upstream.address,
+			Path:     r.URL.Path,
+			RawPath:  r.URL.RawPath,
+			RawQuery: r.URL.RawQuery,
+		},
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Host:          r.Host,
+		Header:        endpointHeader(r, x.call.id),
+		Body:          b.outgoing(),
+		ContentLength: b.length,
+		Trailer:       b.trailer,
+	}
+	x.setFraming(out, b)
+	return out.WithContext(ctx)
+}
+
+// setFraming says how long the body is. A Transport given an unknown body and
+// length 0 would send it in chunks, which surprises some servers.
+func (x *exchange) setFraming(out *http.Request, b *body) {
+	if b.buffered && len(b.whole) == 0 && usuallyHasBody(out.Method) {
+		out.Body = http.NoBody
+	}
+	if !b.buffered && x.call.r.Header.Get("Expect") != "" {
+		out.Header.Set("Expect", "100-continue")
+	}
+	if len(b.trailer) > 0 {
+		out.ContentLength = -1
+	}
+}
+
+func usuallyHasBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
+func (x *exchange) gotConn(info httptrace.GotConnInfo) {
+	conn, ok := info.Conn.(*connection)
+	if !ok {
+		return
+	}
+	x.conn = conn
+	x.before = conn.written.Load()
+}
+
+// nothingSent reports whether certainly no byte of the request left for the
+// endpoint. It holds only after exchange has failed.
+func (x *exchange) nothingSent() bool {
+	return x.conn == nil || x.conn.written.Load() == x.before
+}
+
+// readHead reads the answer's first bytes, so that a small answer is whole
+// before any of it goes to the caller.
+func (x *exchange) readHead(limit int) error {
+	if isEventStream(x.response) || x.response.ContentLength > int64(limit) {
+		return nil
+	}
+	head, err := io.ReadAll(io.LimitReader(x.response.Body, int64(limit)+1))
+	if err != nil {
+		return errors.Wrapf(err, "read answer of endpoint %q", x.slot.ID)
+	}
+	x.head = head
+	x.whole = len(head) <= limit
+	return nil
+}
+
+func isEventStream(response *http.Response) bool {
+	return response.Header.Get("Content-Type") == "text/event-stream"
+}
+
+// close ends the exchange. An unread answer closes its connection.
+func (x *exchange) close() {
+	if x.response != nil {
+		_ = x.response.Body.Close()
+	}
+	x.cancel()
+}
--- /dev/null
+++ b/internal/entry/handler.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+)
+
+const healthPath = "/healthz"
+
+// CallerHandler serves callers: /healthz for the platform's balancer, and
+// every configured route.
+func (s *Server) CallerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(healthPath, s.serveHealth)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == healthPath {
+			mux.ServeHTTP(w, r)
+			return
+		}
+		s.serveCaller(w, r)
+	})
+}
+
+// AnnounceHandler serves endpoints and operators: discovery, /healthz, /readyz
+// and /metrics.
+func (s *Server) AnnounceHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(apiv1.DiscoveryPathPrefix, s.discovery)
+	mux.HandleFunc(healthPath, s.serveHealth)
+	mux.HandleFunc("/readyz", s.serveHealth)
+	if s.config.MetricsHandler != nil {
+		mux.Handle("/metrics", s.config.MetricsHandler)
+	}
+	return mux
+}
+
+// serveHealth says whether callers should be sent here.
+func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	switch {
+	case s.isDraining():
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write([]byte("draining\n"))
+	case !s.lease.Valid():
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write([]byte("no lease\n"))
+	default:
+		_, _ = w.Write([]byte("ok\n"))
+	}
+}
+
+func (s *Server) serveCaller(w http.ResponseWriter, r *http.Request) {
+	c := &call{id: uuid.NewString(), w: w, r: r, begin: time.Now(), key: r.Header.Get(headerKey)}
+	s.metrics.requests.Inc(1)
+	closing := s.enter()
+	defer s.leave()
+	if closing {
+		w.Header().Set("Connection", "close")
+	}
+	s.extendWrite(http.NewResponseController(w))
+	refusal := s.serve(c)
+	if refusal == nil {
+		return
+	}
+	if refusal.outcome == apiv1.Outcome_OUTCOME_UNKNOWN {
+		s.metrics.unknown.Inc(1)
+	} else {
+		s.metrics.notRun.Inc(1)
+	}
+	s.extendWrite(http.NewResponseController(w))
+	refusal.write(w, c.id)
+}
+
+// serve answers the call, or returns why not.
+func (s *Server) serve(c *call) *problem {
+	if !s.awaitLease(c.r.Context()) {
+		return s.unverified(c, s.leaseExpired())
+	}
+	if refusal := s.admit(c); refusal != nil {
+		return s.unverified(c, refusal)
+	}
+	s.boundReading(c)
+	c.service = s.service(c.route.service)
+	if c.route.GetNonIdempotent() {
+		return s.serveNonIdempotent(c)
+	}
+	return s.serveIdempotent(c)
+}
+
+// boundReading cuts off callers that send their body too slowly.
+func (s *Server) boundReading(c *call) {
+	if !noBody(c.r) {
+		_ = http.NewResponseController(c.w).SetReadDeadline(c.deadline.Add(time.Second))
+	}
+}
+
+func (s *Server) leaseExpired() *problem {
+	return notRun(http.StatusServiceUnavailable, codeLeaseExpired,
+		"entry %q is cut off from control and takes no request", s.config.Name).withRetry(time.Second)
+}
--- /dev/null
+++ b/internal/entry/idempotent.go
@@ -0,0 +1,201 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pistachioport/pistachioport/internal/balance"
+)
+
+const (
+	maxTries       = 3
+	shortestTry    = time.Second // a try is not given up earlier, but for the deadline
+	tryOverMean    = 10          // times the mean service time after which a silent try is given up
+	retriableFloor = 502
+)
+
+// serveIdempotent sends the request until one endpoint answers, within the
+// deadline and the retry budget.
+func (s *Server) serveIdempotent(c *call) *problem {
+	b, refusal := s.idempotentBody(c)
+	if refusal != nil {
+		return refusal
+	}
+	defer s.memory.give(int64(len(b.whole)))
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	defer cancel()
+	c.service.budget.Deposit()
+
+	w := c.waiter()
+	w.avoid = make(map[string]bool)
+	sent := false
+	for try := 1; ; try++ {
+		slot, refusal := c.service.acquire(ctx, w)
+		if refusal != nil {
+			return afterSend(refusal, sent)
+		}
+		if !s.awaitLease(ctx) {
+			c.service.release(w, slot, 0, balance.Result{Unused: true})
+			return afterSend(s.leaseExpired(), sent)
+		}
+		last := try == maxTries || !b.buffered
+		result := s.tryOnce(ctx, c, w, slot, b, last)
+		if result.answered {
+			return nil
+		}
+		sent = sent || result.sent
+		if !s.mayRetry(ctx, c, b, try) {
+			return failed(c, sent, result.err)
+		}
+		w.avoid[slot.ID] = true
+		w.domain = result.domain
+	}
+}
+
+// idempotentBody keeps a small body for retries and streams a large one.
+func (s *Server) idempotentBody(c *call) (*body, *problem) {
+	length := c.r.ContentLength
+	if length < 0 || length > s.limits.MaxBuffered || !s.memory.take(length) {
+		return streamed(c.r, s.limits.MaxBody), nil
+	}
+	b, err := readWhole(c.r, s.limits.MaxBuffered)
+	if err != nil {
+		s.memory.give(length)
+		return nil, unreadable(err)
+	}
+	return b, nil
+}
+
+func unreadable(err error) *problem {
+	if errors.Is(err, errBodyTooLarge) {
+		return notRun(http.StatusRequestEntityTooLarge, codeBodyTooLarge, "the body is too large")
+	}
+	return notRun(http.StatusBadRequest, codeBodyRead, "the body could not be read whole")
+}
+
+// tryResult is what one try of an idempotent request came to.
+type tryResult struct {
+	answered bool // the caller has the answer, or its connection is broken
+	sent     bool
+	domain   string
+	err      error
+}
+
+// tryOnce sends the request to the slot's endpoint. Unless it is the last try,
+// an answer that says the endpoint is unavailable counts as none.
+func (s *Server) tryOnce(ctx context.Context, c *call, w *waiter, slot *balance.Slot, b *body, last bool) tryResult {
+	tryCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.AfterFunc(s.tryLimit(c, last), cancel)
+	defer timer.Stop()
+	x, err := s.exchange(tryCtx, c, slot, b)
+	defer x.close()
+	if !timer.Stop() && err == nil {
+		err = errors.Newf("endpoint %q answered as its time ran out", slot.ID)
+	}
+	result := tryResult{domain: slot.Domain, err: err}
+	if err != nil {
+		result.sent = !x.nothingSent()
+		s.failedTry(x, err)
+		c.service.release(w, slot, time.Since(x.begin), s.verdict(ctx, c, x, err))
+		return result
+	}
+	unavailable := x.response.StatusCode >= retriableFloor && x.response.StatusCode <= http.StatusGatewayTimeout
+	if unavailable && !last {
+		result.sent = true
+		result.err = errors.Newf("endpoint %q answered with status %d", slot.ID, x.response.StatusCode)
+		c.service.release(w, slot, time.Since(x.begin), balance.Result{Failed: true})
+		return result
+	}
+	result.answered = true
+	err = s.deliver(x)
+	c.service.release(w, slot, time.Since(x.begin), balance.Result{
+		Latency: time.Since(x.begin),
+		Failed:  unavailable || err != nil && !errors.Is(err, errCaller),
+	})
+	s.counted(err)
+	breakOff(err)
+	return result
+}
+
+// breakOff breaks the caller's connection if its answer is incomplete, so that
+// it can't look complete.
+func breakOff(err error) {
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// tryLimit returns how long a try may take until the answer begins. One that is
+// not the last leaves time for another, since the connection may be silent.
+func (s *Server) tryLimit(c *call, last bool) time.Duration {
+	if last {
+		return c.left()
+	}
+	limit := c.left() / 2
+	if mean := c.service.meanTime(); mean > 0 {
+		limit = min(limit, max(shortestTry, tryOverMean*mean))
+	}
+	return limit
+}
+
+// verdict says what a failed send tells about the endpoint: nothing if the
+// caller left or gave it little time.
+func (s *Server) verdict(ctx context.Context, c *call, x *exchange, err error) balance.Result {
+	callerGone := c.r.Context().Err() != nil
+	ours := errors.Is(err, errEndpointLeft) || errors.Is(err, errNoConnection)
+	impatient := ctx.Err() != nil && time.Since(x.begin) < shortestTry
+	if ours || callerGone || impatient {
+		return balance.Result{Unused: true}
+	}
+	return balance.Result{Failed: true}
+}
+
+// failedTry drops the endpoint's idle connections: they may have gone silent
+// with this one.
+func (s *Server) failedTry(x *exchange, err error) {
+	s.metrics.failedTries.Inc(1)
+	if x.upstream != nil && !errors.Is(err, errNoConnection) {
+		x.upstream.drop()
+	}
+}
+
+func (s *Server) mayRetry(ctx context.Context, c *call, b *body, try int) bool {
+	if try >= maxTries || !b.repeatable() || ctx.Err() != nil {
+		return false
+	}
+	if !c.service.budget.Withdraw() {
+		return false
+	}
+	s.metrics.retries.Inc(1)
+	return true
+}
+
+// afterSend corrects a refusal to what holds when an earlier try was sent.
+func afterSend(refusal *problem, sent bool) *problem {
+	if !sent {
+		return refusal
+	}
+	return unknown(http.StatusBadGateway, codeNoAnswer, "an endpoint received the request and did not answer; then: %s", refusal.message)
+}
+
+// failed is the answer when no try gave one.
+func failed(c *call, sent bool, err error) *problem {
+	if c.r.Context().Err() != nil {
+		return unknown(statusClientClosed, codeCallerGone, "the caller closed its connection")
+	}
+	if errors.Is(err, errBodyTooLarge) {
+		return unknown(http.StatusRequestEntityTooLarge, codeBodyTooLarge, "the body is too large")
+	}
+	if !sent {
+		return notRun(http.StatusBadGateway, codeUnreachable, "no endpoint of service %q could be reached", c.service.name).
+			withRetry(time.Second)
+	}
+	if time.Now().After(c.deadline) {
+		return unknown(http.StatusGatewayTimeout, codeNoAnswer, "no endpoint of service %q answered before the deadline", c.service.name)
+	}
+	return unknown(http.StatusBadGateway, codeNoAnswer, "no endpoint of service %q gave a whole answer", c.service.name)
+}
--- /dev/null
+++ b/internal/entry/non_idempotent.go
@@ -0,0 +1,262 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/balance"
+	"github.com/pistachioport/pistachioport/internal/state/claims"
+)
+
+// maxDials is how many endpoints are tried for a connection. Nothing of the
+// request has been sent while there is none.
+const maxDials = 3
+
+// serveNonIdempotent claims the request's key, sends the request once, and
+// records the outcome.
+func (s *Server) serveNonIdempotent(c *call) *problem {
+	b, k, refusal := s.nonIdempotentBody(c)
+	if refusal != nil {
+		return refusal
+	}
+	defer s.memory.give(int64(len(b.whole)))
+	w := c.waiter()
+	w.avoid = make(map[string]bool)
+	slot, answered, refusal := s.slotForKey(c, k, w)
+	if refusal != nil || answered {
+		return refusal
+	}
+	return s.claimAndSend(c, k, w, slot, b)
+}
+
+// nonIdempotentBody returns the body and the claim to make. With a caller's
+// key the body is read whole, since its digest is part of the claim.
+func (s *Server) nonIdempotentBody(c *call) (*body, *claim, *problem) {
+	if c.key == "" {
+		k := &claim{key: generatedKeyPrefix + c.id, attempt: c.id, generated: true}
+		return streamed(c.r, s.limits.MaxBody), k, nil
+	}
+	reserve := s.limits.MaxBuffered
+	if c.r.ContentLength >= 0 {
+		reserve = c.r.ContentLength
+	}
+	if reserve > s.limits.MaxBuffered {
+		return nil, nil, s.unverified(c, notRun(http.StatusRequestEntityTooLarge, codeBodyTooLarge,
+			"a request with an %s may have at most %d bytes", headerKey, s.limits.MaxBuffered))
+	}
+	if !s.memory.take(reserve) {
+		return nil, nil, s.unverified(c, notRun(http.StatusServiceUnavailable, codeMemory, "too many request bodies are buffered"))
+	}
+	b, err := readWhole(c.r, s.limits.MaxBuffered)
+	if err != nil {
+		s.memory.give(reserve)
+		return nil, nil, s.unverified(c, unreadable(err))
+	}
+	s.memory.give(reserve - int64(len(b.whole)))
+	return b, &claim{key: c.key, attempt: c.id, digest: digest(c.r, b.whole)}, nil
+}
+
+// generatedKeyPrefix marks keys that the entry made for requests without one.
+const generatedKeyPrefix = "entry/"
+
+// digest identifies what a request asks for.
+func digest(r *http.Request, whole []byte) []byte {
+	hash := sha256.New()
+	for _, part := range []string{r.Method, r.URL.RequestURI(), r.Header.Get("Content-Type")} {
+		hash.Write([]byte(part))
+		hash.Write([]byte{0})
+	}
+	hash.Write(whole)
+	return hash.Sum(nil)
+}
+
+// slotForKey waits for a slot. A caller's key is looked up first if there is
+// none at once, so that a resend does not wait for what it does not need.
+func (s *Server) slotForKey(c *call, k *claim, w *waiter) (slot *balance.Slot, answered bool, refusal *problem) {
+	if slot, ok := c.service.tryAcquire(w); ok {
+		return slot, false, nil
+	}
+	if !k.generated {
+		answered, refusal := s.answerKnownKey(c, k)
+		if answered || refusal != nil {
+			return nil, answered, refusal
+		}
+	}
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	defer cancel()
+	slot, refusal = c.service.acquire(ctx, w)
+	if refusal != nil {
+		return nil, false, s.unverified(c, refusal)
+	}
+	return slot, false, nil
+}
+
+// claimAndSend commits the claim while holding the slot, then sends.
+func (s *Server) claimAndSend(c *call, k *claim, w *waiter, slot *balance.Slot, b *body) *problem {
+	ctx, cancel := context.WithDeadline(s.background, c.deadline)
+	defer cancel()
+	result, err := s.takeInTime(ctx, c, k)
+	if err != nil {
+		c.service.release(w, slot, 0, balance.Result{Unused: true})
+		return s.abandon(c, k, notRun(http.StatusServiceUnavailable, codeControl, "the claim could not be committed before the deadline"))
+	}
+	if !result.GetWon() {
+		c.service.release(w, slot, 0, balance.Result{Unused: true})
+		return s.answerRefusedTake(c, k, result)
+	}
+	if reason := s.mayNotSend(c); reason != nil {
+		c.service.release(w, slot, 0, balance.Result{Unused: true})
+		return s.abandon(c, k, reason)
+	}
+	return s.sendOnce(ctx, c, k, w, slot, b)
+}
+
+// takeInTime takes the claim, leaving a part of the time for its abort.
+func (s *Server) takeInTime(ctx context.Context, c *call, k *claim) (*apiv1.ClaimResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.left()*3/4)
+	defer cancel()
+	return s.take(ctx, c, k)
+}
+
+// mayNotSend is the last check before the request leaves.
+func (s *Server) mayNotSend(c *call) *problem {
+	switch {
+	case !s.lease.Valid():
+		return s.leaseExpired()
+	case c.r.Context().Err() != nil:
+		return notRun(statusClientClosed, codeCallerGone, "the caller closed its connection")
+	case c.left() <= 0:
+		return notRun(http.StatusServiceUnavailable, codeDeadline, "the deadline passed before the request was sent")
+	default:
+		return nil
+	}
+}
+
+// abandon aborts the claim and says that the request was not run, or that it
+// is unknown if the abort is not certain.
+func (s *Server) abandon(c *call, k *claim, reason *problem) *problem {
+	if s.abort(c, k, reason.code) {
+		return reason
+	}
+	return unknown(http.StatusServiceUnavailable, reason.code, "%s; this could not be recorded", reason.message)
+}
+
+// sendOnce sends the request to one endpoint. While no connection can be made
+// it turns to another.
+func (s *Server) sendOnce(ctx context.Context, c *call, k *claim, w *waiter, slot *balance.Slot, b *body) *problem {
+	for dial := 1; ; dial++ {
+		x, err := s.exchange(ctx, c, slot, b)
+		if err == nil {
+			return s.finish(c, k, w, slot, x)
+		}
+		nothingSent := x.nothingSent()
+		x.close()
+		s.failedTry(x, err)
+		c.service.release(w, slot, time.Since(x.begin), s.verdict(ctx, c, x, err))
+		if !nothingSent {
+			return s.lost(c, k, err)
+		}
+		if slot = s.otherSlot(ctx, c, w, slot, b, dial); slot == nil {
+			return s.abandon(c, k, notRun(http.StatusBadGateway, codeUnreachable,
+				"no endpoint of service %q could be reached", c.service.name).withRetry(time.Second))
+		}
+	}
+}
+
+// otherSlot returns a slot of another endpoint, or nil.
+func (s *Server) otherSlot(ctx context.Context, c *call, w *waiter, failed *balance.Slot, b *body, dial int) *balance.Slot {
+	if dial >= maxDials || !b.repeatable() || !s.lease.Valid() {
+		return nil
+	}
+	w.avoid[failed.ID] = true
+	w.domain = failed.Domain
+	slot, refusal := c.service.acquire(ctx, w)
+	if refusal != nil {
+		return nil
+	}
+	if s.mayNotSend(c) != nil {
+		c.service.release(w, slot, 0, balance.Result{Unused: true})
+		return nil
+	}
+	return slot
+}
+
+// lost answers for a request that may have run without a whole answer.
+func (s *Server) lost(c *call, k *claim, err error) *problem {
+	s.settle(k, apiv1.Outcome_OUTCOME_UNKNOWN, nil)
+	if errors.Is(err, errBodyTooLarge) {
+		return unknown(http.StatusRequestEntityTooLarge, codeBodyTooLarge, "the body is too large")
+	}
+	if c.left() <= 0 {
+		return unknown(http.StatusGatewayTimeout, codeNoAnswer, "the endpoint did not answer before the deadline")
+	}
+	return unknown(http.StatusBadGateway, codeNoAnswer, "the endpoint gave no whole answer")
+}
+
+// finish sends the answer to the caller and records it.
+func (s *Server) finish(c *call, k *claim, w *waiter, slot *balance.Slot, x *exchange) *problem {
+	defer x.close()
+	kept := s.kept(x)
+	if x.whole {
+		s.settle(k, apiv1.Outcome_OUTCOME_DONE, kept)
+	}
+	err := s.deliver(x)
+	ours := err != nil && !errors.Is(err, errCaller)
+	c.service.release(w, slot, time.Since(x.begin), balance.Result{Latency: time.Since(x.begin), Failed: ours})
+	if !x.whole {
+		outcome := apiv1.Outcome_OUTCOME_DONE
+		if ours {
+			outcome = apiv1.Outcome_OUTCOME_UNKNOWN
+		}
+		s.settle(k, outcome, kept)
+	}
+	s.counted(err)
+	breakOff(err)
+	return nil
+}
+
+// kept returns the answer to keep for a resend, without its body if that is
+// too large.
+func (s *Server) kept(x *exchange) *apiv1.KeptAnswer {
+	answer := &apiv1.KeptAnswer{Status: int32(x.response.StatusCode)}
+	if !x.whole || len(x.head) > s.limits.MaxKeptAnswer {
+		answer.Truncated = true
+		return answer
+	}
+	header := make(http.Header)
+	copyHeader(header, x.response.Header)
+	for name, values := range header {
+		for _, value := range values {
+			answer.Header = append(answer.Header, &apiv1.HeaderField{Name: name, Value: value})
+		}
+	}
+	answer.Body = x.head
+	return answer
+}
+
+// answerRefusedTake answers from what the claim table knows of the key.
+func (s *Server) answerRefusedTake(c *call, k *claim, result *apiv1.ClaimResult) *problem {
+	switch result.GetRefusal() {
+	case claims.RefusalOtherBody:
+		return keyReused()
+	case claims.RefusalSettled, claims.RefusalTaken:
+		return s.awaitOutcome(c, k)
+	case claims.RefusalFull, claims.RefusalAbortLimit:
+		return notRun(http.StatusServiceUnavailable, codeClaimsFull, "the claim was refused: %s", result.GetRefusal())
+	case claims.RefusalKeyFuture:
+		return notRun(http.StatusBadRequest, codeBadRequest, "the %s names a time in the future", headerKey)
+	case claims.RefusalKeyExpired:
+		return unknown(http.StatusConflict, codeKeyExpired, "the %s is older than keys are kept", headerKey)
+	default:
+		return unknown(http.StatusInternalServerError, codeControl, "the claim was refused: %s", result.GetRefusal())
+	}
+}
+
+func keyReused() *problem {
+	return notRun(http.StatusUnprocessableEntity, codeKeyReused, "the %s was used with another request", headerKey)
+}
--- /dev/null
+++ b/internal/entry/renew.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/rpc"
+)
+
+const (
+	renewWait        = time.Second            // for which a renewal waits for a change
+	renewWaitStarved = 100 * time.Millisecond // the same, while requests wait for slots
+	renewMargin      = 500 * time.Millisecond // past the wait, until another control process is tried
+	renewPause       = 100 * time.Millisecond // after a failure
+	renewTimeout     = 3500 * time.Millisecond
+)
+
+// renewLoop renews the lease, one request at a time, until ctx ends.
+func (s *Server) renewLoop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if s.renew(ctx) {
+			continue
+		}
+		if sleep(ctx, renewPause) != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+// renew makes one renewal and reports whether it was answered.
+func (s *Server) renew(ctx context.Context) bool {
+	s.dropGrantsWithoutLease()
+	request := s.renewal()
+	wait := time.Duration(request.GetWaitMs()) * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	ctx = rpc.WithAttemptTimeout(ctx, wait+renewMargin)
+	sent := s.lease.Sending()
+	response, err := s.link.Renew(ctx, request)
+	if err != nil {
+		return false
+	}
+	known := s.view.Load()
+	if response.GetRevision() < known.revision {
+		// A control process that is behind this entry does not lead.
+		return false
+	}
+	s.metrics.renewals.Inc(1)
+	s.config.Client.SetAddresses(response.GetControlAddresses())
+	s.lease.Extend(sent, time.Duration(response.GetLeaseMs())*time.Millisecond)
+	after := known.next(response)
+	if !s.lease.Valid() {
+		after = after.withoutGrants()
+	}
+	s.apply(after)
+	return true
+}
+
+// dropGrantsWithoutLease gives up all slots once the lease has run out: the
+// leader may have granted them to others.
+func (s *Server) dropGrantsWithoutLease() {
+	if known := s.view.Load(); !s.lease.Valid() && len(known.grants) > 0 {
+		s.apply(known.withoutGrants())
+	}
+}
+
+func (s *Server) renewal() *apiv1.RenewEntryRequest {
+	known := s.view.Load()
+	request := &apiv1.RenewEntryRequest{
+		Entry:         s.config.Name,
+		Session:       s.session,
+		Location:      s.config.Location,
+		Address:       s.config.Address,
+		KnownRevision: known.revision,
+		WaitMs:        renewWait.Milliseconds(),
+		Draining:      s.isDraining(),
+	}
+	for _, one := range s.allServices() {
+		demand := one.demand()
+		request.Demand = append(request.Demand, demand)
+		request.Holds = append(request.Holds, one.pool.Holds(s.upstreams.open)...)
+		if demand.GetWaiting() > 0 {
+			request.WaitMs = renewWaitStarved.Milliseconds()
+		}
+	}
+	sort.Slice(request.Demand, func(i, j int) bool {
+		return request.Demand[i].GetService() < request.Demand[j].GetService()
+	})
+	sort.Slice(request.Holds, func(i, j int) bool {
+		return request.Holds[i].GetEndpoint() < request.Holds[j].GetEndpoint()
+	})
+	return request
+}
--- /dev/null
+++ b/internal/entry/run.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	dispatchInterval = 50 * time.Millisecond
+	leaseCheck       = 50 * time.Millisecond
+)
+
+// Run renews the entry's lease and keeps its view until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	defer s.stop()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return s.renewLoop(ctx) })
+	group.Go(func() error { return s.dispatchLoop(ctx) })
+	err := group.Wait()
+	s.upstreams.dropAll()
+	return err
+}
+
+// dispatchLoop looks again at waiting requests, for what changes with time
+// alone: spilling to another region, slow start and ejections. It also notices
+// the end of the lease.
+func (s *Server) dispatchLoop(ctx context.Context) error {
+	ticker := time.NewTicker(dispatchInterval)
+	defer ticker.Stop()
+	held := false
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		held = s.noteLease(held)
+		waiting, inFlight := 0, 0
+		for _, one := range s.allServices() {
+			one.dispatch()
+			demand := one.demand()
+			waiting += int(demand.GetWaiting())
+			inFlight += int(demand.GetInFlight())
+		}
+		s.metrics.waiting.Update(int64(waiting))
+		s.metrics.inFlight.Update(int64(inFlight))
+		s.metrics.linkBytes.Update(s.budget.Crossed())
+	}
+}
+
+// noteLease logs changes of the lease's state.
+func (s *Server) noteLease(held bool) bool {
+	valid := s.lease.Valid()
+	switch {
+	case held && !valid:
+		s.metrics.lostLeases.Inc(1)
+		s.logger.Warn("lease ran out")
+	case !held && valid:
+		s.logger.Info("lease held", "revision", s.view.Load().revision)
+	}
+	return valid
+}
+
+// awaitLease waits a little for a lease that has run out, so that a short
+// outage of control is not noticed by callers. It reports whether the lease
+// runs.
+func (s *Server) awaitLease(ctx context.Context) bool {
+	if s.lease.Valid() {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.limits.LeaseGrace)
+	defer cancel()
+	ticker := time.NewTicker(leaseCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return s.lease.Valid()
+		case <-ticker.C:
+			if s.lease.Valid() {
+				return true
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,211 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/balance"
+)
+
+const (
+	serviceTimeSmoothing = 0.05 // weight of the newest sample
+	serviceTimeSamples   = 20   // needed before a request is refused by an estimate
+)
+
+// service is the queue of one service and the slots it waits for.
+type service struct {
+	name   string
+	pool   *balance.Pool
+	limits Limits
+	budget *balance.RetryBudget
+
+	mu       sync.Mutex
+	queue    *queue
+	inFlight map[string]int // by caller
+	mean     time.Duration  // smoothed time for which a request holds its slot
+	samples  int
+}
+
+func newService(name string, pool *balance.Pool, limits Limits) *service {
+	return &service{
+		name:     name,
+		pool:     pool,
+		limits:   limits,
+		budget:   balance.NewRetryBudget(),
+		queue:    newQueue(),
+		inFlight: make(map[string]int),
+	}
+}
+
+// tryAcquire takes a slot if one is free and nobody waits for it.
+func (s *service) tryAcquire(w *waiter) (*balance.Slot, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.queue.size > 0 {
+		return nil, false
+	}
+	now := time.Now()
+	slot, ok := s.pool.Acquire(now, w.request(now, s.limits.SpillAfter))
+	if ok {
+		s.inFlight[w.caller]++
+	}
+	return slot, ok
+}
+
+// acquire waits for a slot until the waiter's deadline, or refuses.
+func (s *service) acquire(ctx context.Context, w *waiter) (*balance.Slot, *problem) {
+	if slot, ok := s.tryAcquire(w); ok {
+		return slot, nil
+	}
+	if refusal := s.enqueue(w); refusal != nil {
+		return nil, refusal
+	}
+	deadline := time.NewTimer(time.Until(w.deadline))
+	defer deadline.Stop()
+	select {
+	case slot, ok := <-w.given:
+		if !ok {
+			return nil, s.shed()
+		}
+		return slot, nil
+	case <-deadline.C:
+		return s.leave(w, notRun(http.StatusServiceUnavailable, codeDeadline,
+			"no slot of service %q came free before the deadline", s.name))
+	case <-ctx.Done():
+		return s.leave(w, notRun(statusClientClosed, codeCallerGone, "the caller closed its connection"))
+	}
+}
+
+// enqueue adds the waiter, or refuses it if its deadline can't be met. A full
+// queue sheds its least urgent waiter, which may be the new one.
+func (s *service) enqueue(w *waiter) *problem {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if wait := s.estimate(w); time.Now().Add(wait).After(w.deadline) {
+		return notRun(http.StatusServiceUnavailable, codeTooLate,
+			"service %q is expected to have a free slot in %v, after the deadline", s.name, wait.Round(time.Millisecond)).
+			withRetry(wait)
+	}
+	s.queue.add(w)
+	if s.queue.size > s.limits.MaxQueue {
+		victim := s.queue.victim()
+		s.queue.remove(victim)
+		close(victim.given)
+	}
+	s.dispatchLocked()
+	return nil
+}
+
+func (s *service) shed() *problem {
+	return notRun(http.StatusServiceUnavailable, codeQueueFull,
+		"the queue of service %q is full of more urgent requests", s.name).withRetry(time.Second)
+}
+
+// estimate returns how long the waiter will wait and then hold its slot, by
+// the measured mean; 0 while too little was measured.
+func (s *service) estimate(w *waiter) time.Duration {
+	slots := s.pool.Usage(time.Now()).Slots
+	if s.samples < serviceTimeSamples || slots == 0 {
+		return 0
+	}
+	rounds := float64(s.queue.ahead(w)+1)/float64(slots) + 1
+	return time.Duration(rounds * float64(s.mean))
+}
+
+// leave gives up waiting, unless a slot was given at the last moment.
+func (s *service) leave(w *waiter, reason *problem) (*balance.Slot, *problem) {
+	s.mu.Lock()
+	removed := s.queue.remove(w)
+	s.mu.Unlock()
+	if removed {
+		return nil, reason
+	}
+	if slot, ok := <-w.given; ok {
+		return slot, nil
+	}
+	return nil, s.shed()
+}
+
+// release gives a slot back and hands it on.
+func (s *service) release(w *waiter, slot *balance.Slot, held time.Duration, result balance.Result) {
+	slot.Release(time.Now(), result)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inFlight[w.caller]--; s.inFlight[w.caller] <= 0 {
+		delete(s.inFlight, w.caller)
+	}
+	if !result.Unused && !result.Failed {
+		s.note(held)
+	}
+	s.dispatchLocked()
+}
+
+func (s *service) note(held time.Duration) {
+	s.samples++
+	if s.samples == 1 {
+		s.mean = held
+		return
+	}
+	s.mean += time.Duration(serviceTimeSmoothing * float64(held-s.mean))
+}
+
+// meanTime returns the measured time for which a request holds its slot; 0
+// while too little was measured.
+func (s *service) meanTime() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.samples < serviceTimeSamples {
+		return 0
+	}
+	return s.mean
+}
+
+// update takes over new endpoints and grants.
+func (s *service) update(endpoints []*apiv1.Endpoint, grants map[string]*apiv1.SlotHold) {
+	s.pool.Update(time.Now(), endpoints, grants)
+	s.dispatch()
+}
+
+// dispatch gives free slots to those who wait.
+func (s *service) dispatch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatchLocked()
+}
+
+func (s *service) dispatchLocked() {
+	for s.queue.size > 0 && s.pool.HasRoom(time.Now()) && s.dispatchOne() {
+	}
+}
+
+// dispatchOne gives one slot to the first waiter that can use one.
+func (s *service) dispatchOne() bool {
+	now := time.Now()
+	served := false
+	s.queue.inOrder(s.inFlight, func(w *waiter) bool {
+		slot, ok := s.pool.Acquire(now, w.request(now, s.limits.SpillAfter))
+		if !ok {
+			return true
+		}
+		s.queue.remove(w)
+		s.inFlight[w.caller]++
+		w.given <- slot
+		served = true
+		return false
+	})
+	return served
+}
+
+// demand returns what the service needs at present.
+func (s *service) demand() *apiv1.ServiceDemand {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &apiv1.ServiceDemand{
+		Service:  s.name,
+		InFlight: int32(s.pool.Usage(time.Now()).InFlight),
+		Waiting:  int32(s.queue.size),
+	}
+}
--- /dev/null
+++ b/internal/entry/upstreams.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"sync"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/balance"
+)
+
+// upstreams holds the connection pools by endpoint id. It is safe for
+// concurrent use.
+type upstreams struct {
+	location *apiv1.Location
+	link     *balance.Link
+
+	mu   sync.Mutex
+	byID map[string]*upstream
+}
+
+func newUpstreams(location *apiv1.Location, link *balance.Link) *upstreams {
+	return &upstreams{location: location, link: link, byID: make(map[string]*upstream)}
+}
+
+// update makes, changes and drops pools as endpoints and grants change.
+func (u *upstreams) update(v *view) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for id, endpoint := range v.endpoints {
+		pool, ok := u.byID[id]
+		if !ok || pool.address != endpoint.GetAddress() {
+			if ok {
+				pool.drop()
+			}
+			pool = newUpstream(endpoint.GetAddress(), u.linkTo(endpoint))
+			u.byID[id] = pool
+		}
+		pool.setLimit(int(v.grants[id].GetConnections()))
+	}
+	for id, pool := range u.byID {
+		if _, ok := v.endpoints[id]; !ok {
+			pool.drop()
+			delete(u.byID, id)
+		}
+	}
+}
+
+func (u *upstreams) linkTo(endpoint *apiv1.Endpoint) *balance.Link {
+	if balance.ProximityOf(u.location, endpoint.GetLocation()) == balance.OtherRegion {
+		return u.link
+	}
+	return nil
+}
+
+// get returns the pool of the slot's endpoint. It is nil if the endpoint has
+// left or moved since the slot was taken.
+func (u *upstreams) get(slot *balance.Slot) *upstream {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	pool := u.byID[slot.ID]
+	if pool == nil || pool.address != slot.Address {
+		return nil
+	}
+	return pool
+}
+
+// open returns the number of an endpoint's open connections.
+func (u *upstreams) open(id string) int {
+	u.mu.Lock()
+	pool := u.byID[id]
+	u.mu.Unlock()
+	if pool == nil {
+		return 0
+	}
+	return pool.connections()
+}
+
+// dropAll closes all idle connections.
+func (u *upstreams) dropAll() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, pool := range u.byID {
+		pool.drop()
+	}
+}
--- /dev/null
+++ b/internal/entry/view.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"sort"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+)
+
+// view is the desired state and the endpoints as this entry last learned them.
+// It is immutable.
+type view struct {
+	revision              uint64
+	configurationRevision uint64
+	routes                *routeTable
+	endpoints             map[string]*apiv1.Endpoint // by id
+	grants                map[string]*apiv1.SlotHold // by endpoint
+}
+
+func emptyView() *view {
+	return &view{
+		routes:    newRouteTable(nil),
+		endpoints: make(map[string]*apiv1.Endpoint),
+		grants:    make(map[string]*apiv1.SlotHold),
+	}
+}
+
+// next returns the view after an answer of the leader.
+func (v *view) next(response *apiv1.RenewEntryResponse) *view {
+	after := &view{
+		revision:              response.GetRevision(),
+		configurationRevision: v.configurationRevision,
+		routes:                v.routes,
+		endpoints:             v.endpoints,
+		grants:                make(map[string]*apiv1.SlotHold, len(response.GetGrants())),
+	}
+	if response.GetConfigurationChanged() && response.GetConfigurationRevision() >= v.configurationRevision {
+		after.configurationRevision = response.GetConfigurationRevision()
+		after.routes = newRouteTable(response.GetConfiguration())
+	}
+	if response.GetEndpointsReset() || len(response.GetEndpoints()) > 0 || len(response.GetGoneEndpoints()) > 0 {
+		after.endpoints = v.nextEndpoints(response)
+	}
+	for _, grant := range response.GetGrants() {
+		after.grants[grant.GetEndpoint()] = grant
+	}
+	return after
+}
+
+func (v *view) nextEndpoints(response *apiv1.RenewEntryResponse) map[string]*apiv1.Endpoint {
+	endpoints := make(map[string]*apiv1.Endpoint, len(v.endpoints))
+	if !response.GetEndpointsReset() {
+		for id, endpoint := range v.endpoints {
+			endpoints[id] = endpoint
+		}
+	}
+	for _, id := range response.GetGoneEndpoints() {
+		delete(endpoints, id)
+	}
+	for _, endpoint := range response.GetEndpoints() {
+		endpoints[endpoint.GetId()] = endpoint
+	}
+	return endpoints
+}
+
+// withoutGrants returns the view of an entry whose lease ran out.
+func (v *view) withoutGrants() *view {
+	after := *v
+	after.grants = make(map[string]*apiv1.SlotHold)
+	return &after
+}
+
+// byService groups the endpoints by service, sorted by id.
+func (v *view) byService() map[string][]*apiv1.Endpoint {
+	groups := make(map[string][]*apiv1.Endpoint)
+	for _, endpoint := range v.endpoints {
+		groups[endpoint.GetService()] = append(groups[endpoint.GetService()], endpoint)
+	}
+	for _, group := range groups {
+		sort.Slice(group, func(i, j int) bool { return group[i].GetId() < group[j].GetId() })
+	}
+	return groups
+}
--- /dev/null
+++ b/internal/entry/waiter.go
@@ -0,0 +1,39 @@
+package entry
+
+import (
+	"time"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/balance"
+)
+
+// waiter is a request that waits for a slot.
+type waiter struct {
+	class    apiv1.Class
+	caller   string
+	deadline time.Time
+	since    time.Time
+	avoid    map[string]bool // endpoints already tried, by id
+	domain   string          // failure domain to leave, if possible
+
+	given chan *balance.Slot // capacity 1; closed when the waiter is shed
+}
+
+func newWaiter(class apiv1.Class, caller string, deadline, now time.Time) *waiter {
+	return &waiter{
+		class:    class,
+		caller:   caller,
+		deadline: deadline,
+		since:    now,
+		given:    make(chan *balance.Slot, 1),
+	}
+}
+
+// request returns what the choice of an endpoint must respect.
+func (w *waiter) request(now time.Time, spillAfter time.Duration) balance.Request {
+	return balance.Request{
+		Remote: now.Sub(w.since) >= spillAfter,
+		Avoid:  w.avoid,
+		Domain: w.domain,
+	}
+}
