Placement: task table, scheduler, leader's duty, platform form and fake worker

Cause: nothing placed tasks yet. Guards of the table, preemption, quarantine and reservations have no tests of their own yet.

--- /dev/null
+++ b/internal/placement/duty.go
@@ -0,0 +1,58 @@
+package placement
+
+import (
+	"context"
+	"sync/atomic"
+
+	"golang.org/x/sync/errgroup"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/platform"
+)
+
+// Duty places tasks while this process leads. It is safe for concurrent use.
+type Duty struct {
+	config  Config
+	counts  *counts
+	service *platform.Service
+	term    atomic.Pointer[term] // nil: not leading
+}
+
+var _ apiv1.Platform = (*Duty)(nil)
+
+// New returns a duty that does nothing until Run.
+func New(config Config) *Duty {
+	d := &Duty{config: config.withDefaults()}
+	d.counts = newCounts(d.config.Metrics)
+	d.service = platform.NewService(&leader{duty: d}, d.config.NotLeader)
+	return d
+}
+
+// Run places tasks until ctx ends, which it must when this process no longer
+// leads. Each call is a new term: leases that an earlier leader granted are
+// waited out.
+func (d *Duty) Run(ctx context.Context) error {
+	t := newTerm(d.config, d.counts)
+	group, ctx := errgroup.WithContext(ctx)
+	t.begin(ctx)
+	d.term.Store(t)
+	defer d.term.CompareAndSwap(t, nil)
+	group.Go(func() error { return t.commits.run(ctx) })
+	group.Go(func() error { return t.decide(ctx) })
+	group.Go(func() error { return t.expire(ctx) })
+	return group.Wait()
+}
+
+// Renew serves workers. Outside leadership it refers them to the leader.
+func (d *Duty) Renew(ctx context.Context, request *apiv1.RenewWorkerRequest) (*apiv1.RenewWorkerResponse, error) {
+	return d.service.Renew(ctx, request)
+}
+
+// Waits explains why tasks of the job wait; nil outside leadership.
+func (d *Duty) Waits(job string) []*apiv1.WaitReason {
+	t := d.term.Load()
+	if t == nil {
+		return nil
+	}
+	return t.waits(job)
+}
--- a/internal/platform/doc.go
+++ b/internal/platform/doc.go
@@ -1,2 +1,4 @@
-// Package platform is the narrow interface to workers, and its HTTP form.
+// Package platform is the interface between placement and the workers. Leader
+// and its types are all that placement knows of a worker's protocol; Service
+// is the form that speaks Twirp, and can be replaced alone.
 package platform
--- /dev/null
+++ b/internal/platform/errors.go
@@ -0,0 +1,11 @@
+package platform
+
+import "github.com/cockroachdb/errors"
+
+// Errors of Leader.
+var (
+	ErrNotLeader    = errors.New("this process does not lead")
+	ErrSuperseded   = errors.New("a later boot of this worker is registered")
+	ErrLeaseInDoubt = errors.New("the worker's lease is being ended")
+	ErrBadRenewal   = errors.New("the renewal is incomplete")
+)
--- /dev/null
+++ b/internal/scheduler/changes.go
@@ -0,0 +1,54 @@
+package scheduler
+
+import (
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/scheduler/resources"
+)
+
+// Changes is what changed since the last call, as the scheduler needs it.
+type Changes struct {
+	Reset        bool // everything known before is void
+	Teams        []*apiv1.Team
+	TeamsChanged bool // Teams replaces the teams known before
+	Jobs         []JobState
+	Workers      []WorkerState
+	Tasks        []TaskState
+}
+
+// JobState is a job as configured.
+type JobState struct {
+	Name  string
+	Spec  *apiv1.Job // nil: the job is no longer configured; never changed in place
+	Never string     // why no task of it can ever run; empty otherwise
+}
+
+// WorkerState is a worker without its load.
+type WorkerState struct {
+	Name        string
+	Boot        string
+	Location    *apiv1.Location
+	Capacity    resources.Amount
+	Alive       bool
+	Quarantined bool
+	ProbeAt     int64 // Unix milliseconds from which one task may probe it; 0: a probe runs
+	Gone        bool  // forgotten
+}
+
+// TaskState is a task and its live attempt, if it has one.
+type TaskState struct {
+	Job       string
+	Index     int32
+	State     apiv1.TaskState
+	NextID    string // of its next attempt
+	NotBefore int64  // Unix milliseconds
+	Gone      bool   // the task is no longer wanted and holds nothing
+
+	Attempt  string // live attempt; empty: none. It holds capacity until it ends.
+	Worker   string
+	Amount   resources.Amount
+	Team     string
+	Borrowed bool
+	Once     bool // non-idempotent
+	PlacedAt int64
+	Outdated bool // placed from another version of the job
+}
--- /dev/null
+++ b/internal/scheduler/request.go
@@ -0,0 +1,26 @@
+package scheduler
+
+import (
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/scheduler/resources"
+)
+
+// Request is a task that looks for a worker.
+type Request struct {
+	Amount   resources.Amount
+	Class    apiv1.Class
+	Expected int64 // milliseconds that the task runs; 0: unknown
+	Now      int64 // Unix milliseconds
+
+	job *job
+}
+
+func (c *Cell) request(j *job) *Request {
+	return &Request{
+		Amount:   j.amount,
+		Class:    j.class(),
+		Expected: j.spec.GetExpectedRunMs(),
+		Now:      c.now,
+		job:      j,
+	}
+}
--- /dev/null
+++ b/internal/scheduler/round.go
@@ -0,0 +1,130 @@
+package scheduler
+
+import apiv1 "github.com/pistachioport/pistachioport/api/v1"
+
+// Round decides placements until nothing more fits or limit plans are made.
+// The cell assumes that they are carried out: the caller commits them and
+// hands back, by Update, what came of it. now is in Unix milliseconds.
+func (c *Cell) Round(now int64, limit int) *Decision {
+	c.now = max(c.now, now)
+	d := &Decision{}
+	c.wakeDue()
+	c.roll(d)
+	c.tendReservations(d)
+	byClass := c.candidates()
+	c.probe(byClass, d)
+	for _, class := range classes {
+		c.serve(byClass[class], limit, d)
+	}
+	d.Next = c.nextDue()
+	return d
+}
+
+// candidates returns the ready jobs that may be tried now, by class.
+func (c *Cell) candidates() map[apiv1.Class][]*job {
+	byClass := make(map[apiv1.Class][]*job)
+	for _, j := range c.ready {
+		retry := j.retryAt != 0 && c.now >= j.retryAt
+		if j.blocked != c.growth || retry {
+			byClass[j.class()] = append(byClass[j.class()], j)
+		}
+	}
+	return byClass
+}
+
+func (c *Cell) serve(jobs []*job, limit int, d *Decision) {
+	if len(jobs) == 0 {
+		return
+	}
+	q := c.queueOf(jobs)
+	for q.Len() > 0 {
+		if len(d.Plans) >= limit {
+			d.More = true
+			return
+		}
+		j := q.turns[0].jobs[0]
+		placed := c.ready[j.name] == j && c.place(j, d)
+		q.again(!placed || !j.startable())
+	}
+}
+
+// place places one task of the job, or a whole gang. If none fits, the job is
+// set aside until room is gained.
+func (c *Cell) place(j *job, d *Decision) bool {
+	n := 1
+	if j.gang() {
+		n = len(j.waiting)
+	}
+	borrowed := !c.team(j.spec.GetTeam()).admits(j.amount.Times(int64(n)))
+	if borrowed && !j.mayBorrow() {
+		c.block(j, 0)
+		return false
+	}
+	if c.placeNow(j, borrowed, d) {
+		j.blocked, j.retryAt = 0, 0
+		return true
+	}
+	c.wait(j, n, borrowed, d)
+	return false
+}
+
+func (c *Cell) placeNow(j *job, borrowed bool, d *Decision) bool {
+	if j.gang() {
+		return c.placeGang(j, borrowed, d)
+	}
+	w, backfill := c.pick(c.request(j))
+	if w == nil {
+		return false
+	}
+	m := c.assume(j, w, borrowed, backfill)
+	d.Plans = append(d.Plans, &apiv1.GangPlan{Attempts: []*apiv1.Attempt{m}})
+	return true
+}
+
+// wait makes room for a job that does not fit, by preemption or by keeping
+// room as it becomes free.
+func (c *Cell) wait(j *job, n int, borrowed bool, d *Decision) {
+	if !borrowed && c.preempt(j, n, d) {
+		c.block(j, 0)
+		return
+	}
+	due := j.since + patience(j.class())
+	if c.now < due {
+		c.block(j, due)
+		return
+	}
+	c.reserve(j, n)
+	c.block(j, 0)
+}
+
+func (c *Cell) block(j *job, retryAt int64) {
+	j.blocked = c.growth
+	j.retryAt = retryAt
+}
+
+// nextDue returns when the next round is due though nothing changes.
+func (c *Cell) nextDue() int64 {
+	next := int64(0)
+	sooner := func(at int64) {
+		if at > 0 && (next == 0 || at < next) {
+			next = at
+		}
+	}
+	if len(c.timers) > 0 {
+		sooner(c.timers[0].at)
+	}
+	for _, j := range c.ready {
+		sooner(j.retryAt)
+	}
+	for _, kept := range c.reservations {
+		if c.now < kept.due {
+			sooner(kept.due)
+		} else {
+			sooner(kept.last)
+		}
+	}
+	for _, w := range c.probes {
+		sooner(w.ProbeAt)
+	}
+	return next
+}
--- /dev/null
+++ b/internal/scheduler/shadow.go
@@ -0,0 +1,84 @@
+package scheduler
+
+import (
+	"slices"
+
+	"github.com/pistachioport/pistachioport/internal/scheduler/resources"
+)
+
+// reserve keeps room for n tasks of a job at the earliest time at which they
+// are expected to fit. It returns false if that time can't be foretold.
+func (c *Cell) reserve(j *job, n int) bool {
+	if _, kept := c.reservations[j.name]; kept || len(c.reservations) >= maxReservations {
+		return kept
+	}
+	due, ok := c.shadowTime(j, n)
+	if !ok {
+		return false
+	}
+	slots := c.slotsAt(j, n, due)
+	c.keep(&reservation{job: j.name, due: due, last: due + preemptedMs, class: j.class(), slots: slots})
+	return true
+}
+
+// shadowTime returns when n tasks of the job are expected to fit.
+func (c *Cell) shadowTime(j *job, n int) (int64, bool) {
+	ends := []int64{c.now}
+	for _, w := range c.workers {
+		for _, r := range w.live {
+			if end := r.end(c.now); w.usable() && end < never {
+				ends = append(ends, end)
+			}
+		}
+	}
+	slices.Sort(ends)
+	ends = slices.Compact(ends)
+	at, _ := slices.BinarySearchFunc(ends, true, func(end int64, _ bool) int {
+		if c.fitsAt(j, n, end) {
+			return 0
+		}
+		return -1
+	})
+	if at == len(ends) {
+		return 0, false
+	}
+	return ends[at], true
+}
+
+func (c *Cell) fitsAt(j *job, n int, at int64) bool {
+	held := 0
+	for _, w := range c.workers {
+		if w.usable() {
+			held += c.unreservedAt(j, w, at).Holds(j.amount, n)
+		}
+		if held >= n {
+			return true
+		}
+	}
+	return false
+}
+
+// unreservedAt returns what the worker is expected to have for the job.
+func (c *Cell) unreservedAt(j *job, w *Worker, at int64) resources.Amount {
+	others, _ := c.othersReserved(c.request(j), w)
+	return w.freeAt(c.now, at).Minus(others)
+}
+
+// slotsAt chooses the workers that hold most tasks, by name where equal.
+func (c *Cell) slotsAt(j *job, n int, at int64) map[string]resources.Amount {
+	var all []slot
+	for _, name := range sortedKeys(c.workers) {
+		w := c.workers[name]
+		if !w.usable() {
+			continue
+		}
+		if held := c.unreservedAt(j, w, at).Holds(j.amount, n); held > 0 {
+			all = append(all, slot{worker: w, tasks: held})
+		}
+	}
+	slots := make(map[string]resources.Amount)
+	for _, s := range take(all, n) {
+		slots[s.worker.Name] = j.amount.Times(int64(s.tasks))
+	}
+	return slots
+}
--- /dev/null
+++ b/internal/scheduler/slot.go
@@ -0,0 +1,30 @@
+package scheduler
+
+import "slices"
+
+// slot is a number of tasks on one worker.
+type slot struct {
+	worker *Worker
+	tasks  int
+}
+
+// take chooses slots for n tasks: those that hold most first, and for the rest
+// the one that holds the fewest and enough. The slots must hold n in sum.
+func take(all []slot, n int) []slot {
+	slices.SortStableFunc(all, func(a, b slot) int { return b.tasks - a.tasks })
+	var chosen []slot
+	for at := 0; at < len(all) && n > 0; at++ {
+		s := all[at]
+		if s.tasks >= n {
+			last := at
+			for last+1 < len(all) && all[last+1].tasks >= n {
+				last++
+			}
+			s = all[last]
+			s.tasks = n
+		}
+		chosen = append(chosen, s)
+		n -= s.tasks
+	}
+	return chosen
+}
--- /dev/null
+++ b/internal/scheduler/waits.go
@@ -0,0 +1,95 @@
+package scheduler
+
+import (
+	"fmt"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+)
+
+// Waits explains why tasks of the job wait; nil: none waits, or the job is not
+// known.
+func (c *Cell) Waits(name string) []*apiv1.WaitReason {
+	j, ok := c.jobs[name]
+	if !ok || j.spec == nil {
+		return nil
+	}
+	var reasons []*apiv1.WaitReason
+	if j.never != "" {
+		return append(reasons, &apiv1.WaitReason{Filter: ReasonNever, Detail: j.never})
+	}
+	reasons = append(reasons, c.waitsForTime(j)...)
+	if len(j.waiting) == 0 {
+		return reasons
+	}
+	if j.gang() && !j.whole() {
+		return append(reasons, &apiv1.WaitReason{
+			Filter: ReasonGang,
+			Detail: fmt.Sprintf("%d of %d tasks can start", len(j.waiting), j.spec.GetCount()),
+		})
+	}
+	reasons = append(reasons, c.waitsForQuota(j)...)
+	reasons = append(reasons, c.waitsForWorkers(j)...)
+	if kept, ok := c.reservations[name]; ok {
+		reasons = append(reasons, &apiv1.WaitReason{
+			Filter:  ReasonReservation,
+			Workers: int32(len(kept.slots)),
+			Detail:  fmt.Sprintf("room is kept for this job, expected in %d s", max(0, kept.due-c.now)/1000),
+		})
+	}
+	return reasons
+}
+
+func (c *Cell) waitsForTime(j *job) []*apiv1.WaitReason {
+	if j.parked == 0 {
+		return nil
+	}
+	release := j.spec.GetReleaseUnixMs()
+	if release > c.now {
+		return []*apiv1.WaitReason{{
+			Filter: ReasonReleaseTime,
+			Detail: fmt.Sprintf("due in %d s", (release-c.now)/1000),
+		}}
+	}
+	return []*apiv1.WaitReason{{
+		Filter: ReasonRetry,
+		Detail: fmt.Sprintf("%d tasks pause after a failure", j.parked),
+	}}
+}
+
+func (c *Cell) waitsForQuota(j *job) []*apiv1.WaitReason {
+	n := 1
+	if j.gang() {
+		n = len(j.waiting)
+	}
+	account := c.team(j.spec.GetTeam())
+	if account.admits(j.amount.Times(int64(n))) {
+		return nil
+	}
+	detail := fmt.Sprintf("team %q uses its quota", account.name)
+	if j.mayBorrow() {
+		detail += "; the job may borrow what no other team claims"
+	}
+	return []*apiv1.WaitReason{{Filter: ReasonQuota, Detail: detail}}
+}
+
+// waitsForWorkers counts, for each filter, the workers that it refused first.
+func (c *Cell) waitsForWorkers(j *job) []*apiv1.WaitReason {
+	request := c.request(j)
+	filters := c.filters()
+	refused := make([]int32, len(filters))
+	for _, w := range c.workers {
+		for at, filter := range filters {
+			if !filter.Pass(request, w) {
+				refused[at]++
+				break
+			}
+		}
+	}
+	var reasons []*apiv1.WaitReason
+	for at, filter := range filters {
+		if refused[at] > 0 {
+			reasons = append(reasons, &apiv1.WaitReason{Filter: filter.Name(), Workers: refused[at]})
+		}
+	}
+	return reasons
+}
--- /dev/null
+++ b/internal/state/tasks/attempt.go
@@ -0,0 +1,72 @@
+package tasks
+
+import (
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/scheduler/resources"
+)
+
+// attempt is one committed placement of a task. Its mutable fields are guarded
+// by the shards of its job and of its worker, both.
+type attempt struct {
+	id         string
+	job        string
+	index      int32
+	worker     string
+	boot       string
+	amount     resources.Amount
+	generation string
+	command    string
+	team       string
+	borrowed   bool
+	once       bool // non-idempotent when it was placed
+	placedAt   int64
+
+	state          apiv1.TaskState
+	startedAt      int64
+	checkpointStop bool
+}
+
+// message returns a copy in wire form.
+func (a *attempt) message() *apiv1.Attempt {
+	return &apiv1.Attempt{
+		Id:             a.id,
+		Job:            a.job,
+		Index:          a.index,
+		Worker:         a.worker,
+		Boot:           a.boot,
+		Resources:      a.amount.Message(),
+		State:          a.state,
+		PlacedUnixMs:   a.placedAt,
+		StartedUnixMs:  a.startedAt,
+		Generation:     a.generation,
+		Borrowed:       a.borrowed,
+		Command:        a.command,
+		CheckpointStop: a.checkpointStop,
+		Team:           a.team,
+		NonIdempotent:  a.once,
+	}
+}
+
+func attemptOf(m *apiv1.Attempt) *attempt {
+	return &attempt{
+		id:             m.GetId(),
+		job:            m.GetJob(),
+		index:          m.GetIndex(),
+		worker:         m.GetWorker(),
+		boot:           m.GetBoot(),
+		amount:         resources.Of(m.GetResources()),
+		state:          m.GetState(),
+		placedAt:       m.GetPlacedUnixMs(),
+		startedAt:      m.GetStartedUnixMs(),
+		generation:     m.GetGeneration(),
+		borrowed:       m.GetBorrowed(),
+		command:        m.GetCommand(),
+		checkpointStop: m.GetCheckpointStop(),
+		team:           m.GetTeam(),
+		once:           m.GetNonIdempotent(),
+	}
+}
+
+func (a *attempt) stopping() bool {
+	return a.state == apiv1.TaskState_TASK_STATE_STOPPING
+}
--- /dev/null
+++ b/internal/state/tasks/shard.go
@@ -0,0 +1,96 @@
+package tasks
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const shardCount = 16
+
+// shard holds some of the jobs or workers. Only Apply, Configure and Restore
+// write, from one goroutine; they read without the lock.
+type shard[V any] struct {
+	mu     sync.RWMutex
+	values map[string]V
+}
+
+// shards holds all jobs or all workers.
+type shards[V any] struct {
+	all  [shardCount]shard[V]
+	held [shardCount]bool // by the writer
+	any  bool             // the writer holds one at least
+}
+
+func newShards[V any]() *shards[V] {
+	s := &shards[V]{}
+	for i := range s.all {
+		s.all[i].values = make(map[string]V)
+	}
+	return s
+}
+
+func place(name string) int {
+	return int(xxhash.Sum64String(name) % shardCount)
+}
+
+// write returns the shard of the name, locked for the writer until release.
+func (s *shards[V]) write(name string) *shard[V] {
+	i := place(name)
+	if !s.held[i] {
+		s.all[i].mu.Lock()
+		s.held[i] = true
+		s.any = true
+	}
+	return &s.all[i]
+}
+
+// release unlocks what the writer holds.
+func (s *shards[V]) release() {
+	if !s.any {
+		return
+	}
+	for i := range s.all {
+		if s.held[i] {
+			s.all[i].mu.Unlock()
+			s.held[i] = false
+		}
+	}
+	s.any = false
+}
+
+// read calls f with the named value under the shard's read lock.
+func (s *shards[V]) read(name string, f func(value V, ok bool)) {
+	one := &s.all[place(name)]
+	one.mu.RLock()
+	defer one.mu.RUnlock()
+	value, ok := one.values[name]
+	f(value, ok)
+}
+
+// readAll calls f with every value, each under its shard's read lock.
+func (s *shards[V]) readAll(f func(value V)) {
+	for i := range s.all {
+		s.readShard(i, f)
+	}
+}
+
+func (s *shards[V]) readShard(i int, f func(value V)) {
+	one := &s.all[i]
+	one.mu.RLock()
+	defer one.mu.RUnlock()
+	for _, value := range one.values {
+		f(value)
+	}
+}
+
+// names returns all names, sorted. Only the writer calls it.
+func (s *shards[V]) names() []string {
+	all := make(map[string]bool)
+	for i := range s.all {
+		for name := range s.all[i].values {
+			all[name] = true
+		}
+	}
+	return ids(all)
+}
--- /dev/null
+++ b/internal/state/tasks/task.go
@@ -0,0 +1,27 @@
+package tasks
+
+import apiv1 "github.com/pistachioport/pistachioport/api/v1"
+
+// task is one task of a job.
+type task struct {
+	index     int32
+	state     apiv1.TaskState
+	detail    string
+	failures  int32
+	notBefore int64    // Unix milliseconds
+	attempts  uint64   // so far
+	live      *attempt // holds its worker's capacity; nil otherwise
+	lost      *attempt // ended with its worker, fate unknown; nil otherwise
+	started   bool     // an attempt of this generation may have started
+}
+
+// terminal reports whether the task is not started again by itself.
+func (t *task) terminal() bool {
+	switch t.state {
+	case apiv1.TaskState_TASK_STATE_DONE, apiv1.TaskState_TASK_STATE_FAILED,
+		apiv1.TaskState_TASK_STATE_UNKNOWN, apiv1.TaskState_TASK_STATE_CANCELLED:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/state/tasks/worker.go
@@ -0,0 +1,72 @@
+package tasks
+
+import (
+	"slices"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/scheduler/resources"
+)
+
+// maxFormerBoots bounds the memory of superseded boots of one worker.
+const maxFormerBoots = 8
+
+// worker is one registered worker.
+type worker struct {
+	name        string
+	boot        string
+	location    *apiv1.Location
+	capacity    resources.Amount
+	used        resources.Amount // by live attempts, stopping ones included
+	alive       bool
+	goneAt      int64               // Unix milliseconds; 0 while alive
+	formerBoots []string            // oldest first
+	live        map[string]*attempt // by id
+	lost        map[string]*attempt // of this boot, fate unknown, by id
+
+	ordersRevision uint64
+	changed        chan struct{} // closed at the next change of orders; nil: nobody waits
+
+	health
+}
+
+// superseded reports whether the boot is an earlier one of this worker.
+func (w *worker) superseded(boot string) bool {
+	return slices.Contains(w.formerBoots, boot)
+}
+
+// replaceBoot notes that the worker restarted.
+func (w *worker) replaceBoot(boot string) {
+	if len(w.formerBoots) == maxFormerBoots {
+		w.formerBoots = slices.Clone(w.formerBoots[1:])
+	}
+	w.formerBoots = append(w.formerBoots, w.boot)
+	w.boot = boot
+}
+
+// bump notes that the worker's orders changed.
+func (w *worker) bump() {
+	w.ordersRevision++
+	if w.changed != nil {
+		close(w.changed)
+		w.changed = nil
+	}
+}
+
+func (w *worker) message() *apiv1.Worker {
+	return &apiv1.Worker{
+		Name:     w.name,
+		Boot:     w.boot,
+		Location: w.location,
+		Capacity: w.capacity.Message(),
+	}
+}
+
+// ids returns the map's keys, sorted.
+func ids[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for id := range m {
+		keys = append(keys, id)
+	}
+	slices.Sort(keys)
+	return keys
+}
