--- /dev/null
+++ b/internal/command/fake/call.go
@@ -0,0 +1,98 @@
+package fake
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+)
+
+const (
+	maxAnswer     = 16 << 20 // bytes
+	untilPause    = 50 * time.Millisecond
+	outcomeHeader = "Pistachio-Outcome"
+)
+
+// callOptions are the flags of the call command.
+type callOptions struct {
+	key     string
+	body    string
+	timeout time.Duration
+	until   int
+	within  time.Duration
+}
+
+func newCallCommand() *cobra.Command {
+	var options callOptions
+	command := &cobra.Command{
+		Use:   "call METHOD URL",
+		Short: "Sends one request and prints its status and outcome in the first line, then the answer's body",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			return options.run(command.Context(), command.OutOrStdout(), arguments[0], arguments[1])
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&options.key, "key", "", "Idempotency-Key of the request")
+	flags.StringVar(&options.body, "body", "", "body of the request")
+	flags.DurationVar(&options.timeout, "timeout", 10*time.Second, "time limit of one request")
+	flags.IntVar(&options.until, "until", 0, "send again until the answer has this status (only for requests that may be repeated)")
+	flags.DurationVar(&options.within, "within", 30*time.Second, "time limit of --until")
+	return command
+}
+
+func (o callOptions) run(ctx context.Context, out io.Writer, method, url string) error {
+	if o.until == 0 {
+		_, err := o.send(ctx, out, method, url)
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.within)
+	defer cancel()
+	for {
+		var text strings.Builder
+		status, err := o.send(ctx, &text, method, url)
+		if err == nil && status == o.until {
+			_, err = io.WriteString(out, text.String())
+			return errors.Wrap(err, "print answer")
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Newf("%s %s did not answer with %d within %v; last status %d, last error %v",
+				method, url, o.until, o.within, status, err)
+		case <-time.After(untilPause):
+		}
+	}
+}
+
+// send sends the request once, on a connection of its own, so that the HTTP
+// library never sends it again by itself.
+func (o callOptions) send(ctx context.Context, out io.Writer, method, url string) (int, error) {
+	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(o.body))
+	if err != nil {
+		return 0, errors.Wrap(err, "build request")
+	}
+	if o.key != "" {
+		request.Header.Set("Idempotency-Key", o.key)
+	}
+	client := &http.Client{Timeout: o.timeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, errors.Wrapf(err, "send %s %s", method, url)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return 0, errors.Wrapf(err, "read answer of %s", url)
+	}
+	outcome := response.Header.Get(outcomeHeader)
+	if outcome == "" {
+		outcome = "-"
+	}
+	_, err = fmt.Fprintf(out, "%d %s\n%s\n", response.StatusCode, outcome, body)
+	return response.StatusCode, errors.Wrap(err, "print answer")
+}
