Operators' files: the same bounds as the cell's own check

Cause: spec check accepted commands of 16 KiB and any number of tasks, which the state machine would have refused at publish. Ruled out: calling the state machine's check, since spec depends on nothing but the interface's types; a test runs it over both examples instead.

--- a/internal/spec/check.go
+++ b/internal/spec/check.go
@@ -4,7 +4,10 @@
 	"fmt"
 	"strings"
 
+	"google.golang.org/protobuf/proto"
+
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/finding"
 	"github.com/pistachioport/pistachioport/internal/tomlfile"
 )
 
@@ -13,6 +16,7 @@
 	checkUnique("job", c.jobs, func(j *job) *tomlfile.Table { return j.table })
 	checkUnique("team", c.teams, func(t *team) *tomlfile.Table { return t.table })
 	checkUnique("worker_shape", c.shapes, func(s *shape) *tomlfile.Table { return s.table })
+	c.checkTotals()
 	c.checkRoutes()
 	c.checkShapes()
 	c.checkTeams()
@@ -35,6 +39,41 @@
 	}
 }
 
+// Bounds of one configuration. The cell has the same ones.
+const (
+	maxJobs      = 20000
+	maxTeams     = 1000
+	maxShapes    = 1000
+	maxAllTasks  = 200000
+	maxTotalSize = 3 << 20 // bytes, as encoded for the log
+)
+
+// checkTotals reports a configuration that is too large as a whole.
+func (c *collection) checkTotals() {
+	tasks := 0
+	for _, j := range c.jobs {
+		tasks += int(j.GetCount())
+	}
+	for _, total := range []struct {
+		what        string
+		count, most int
+	}{
+		{"jobs", len(c.jobs), maxJobs},
+		{"teams", len(c.teams), maxTeams},
+		{"worker shapes", len(c.shapes), maxShapes},
+		{"tasks", tasks, maxAllTasks},
+		{"bytes", proto.Size(c.configuration()), maxTotalSize},
+	} {
+		if total.count > total.most {
+			c.findings.Add(finding.Finding{
+				File:    "all files",
+				Problem: fmt.Sprintf("together they describe %d %s", total.count, total.what),
+				Allowed: fmt.Sprintf("at most %d", total.most),
+			})
+		}
+	}
+}
+
 // checkRoutes reports every path prefix after its first use.
 func (c *collection) checkRoutes() {
 	first := map[string]string{}
--- a/internal/spec/collect_test.go
+++ b/internal/spec/collect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -14,6 +15,7 @@
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 	"github.com/pistachioport/pistachioport/internal/finding"
 	"github.com/pistachioport/pistachioport/internal/spec"
+	"github.com/pistachioport/pistachioport/internal/state"
 )
 
 var update = flag.Bool("update", false, "write the golden files from the present output")
@@ -74,6 +76,7 @@
 			configuration, err := spec.Collect("../../examples/" + user + "/spec")
 			is.NoErr(err)
 			is.Equal(len(configuration.GetJobs()), jobs)
+			is.NoErr(state.Validate(configuration)) // the cell's own check agrees
 		})
 	}
 }
@@ -117,3 +120,14 @@
 	is.NoErr(err)
 	is.True(proto.Equal(one, other))
 }
+
+func TestWholeConfigurationIsBounded(t *testing.T) {
+	is := is.New(t)
+	var text strings.Builder
+	for i := range 25 {
+		_, _ = fmt.Fprintf(&text, "[[job]]\nname = \"j%d\"\nteam = \"t\"\nkind = \"batch\"\nprocessors = 1\nmemory = \"1GiB\"\ncount = 10000\n", i)
+	}
+	_, err := spec.Collect(write(t, "many.toml", text.String()+"[[team]]\nname = \"t\"\nprocessors = 1\nmemory = \"1GiB\"\n"))
+	is.True(err != nil)
+	is.Equal(err.Error(), "all files: together they describe 250000 tasks; allowed: at most 200000")
+}
--- a/internal/spec/job.go
+++ b/internal/spec/job.go
@@ -1,6 +1,7 @@
 package spec
 
 import (
+	"fmt"
 	"regexp"
 	"time"
 
@@ -13,8 +14,9 @@
 	maxTasks       = 10000
 	maxFailures    = 1000
 	maxRunTime     = 90 * 24 * time.Hour
-	maxCommandSize = 16 << 10 // bytes
-	maxTextLength  = 128      // bytes
+	maxCommandSize = 4 << 10 // bytes
+	maxTextLength  = 128     // bytes
+	maxRoutes      = 100     // of one job
 )
 
 const (
@@ -82,6 +84,9 @@
 		j.routes = append(j.routes, r)
 		j.Routes = append(j.Routes, r.Route)
 	}
+	if len(j.routes) > maxRoutes {
+		table.Report("routes", fmt.Sprintf("at most %d", maxRoutes), "job %q has %d routes", j.GetName(), len(j.routes))
+	}
 	table.Finish()
 	checkJob(j)
 	return j
--- a/internal/spec/route.go
+++ b/internal/spec/route.go
@@ -20,6 +20,8 @@
 // unsafeMethods make a route non-idempotent unless its file says otherwise.
 var unsafeMethods = []string{"PATCH", "POST"}
 
+const maxPathLength = 1024 // bytes
+
 const pathAllowed = `a clean path that starts with "/", without "*", "?" or "#"`
 
 func readRoute(table *tomlfile.Table, jobClass apiv1.Class) *route {
@@ -59,6 +61,9 @@
 	if !strings.HasPrefix(prefix, "/") || !clean || strings.ContainsAny(prefix, "*?# ") {
 		table.Report("path", pathAllowed, "%s = %q is no valid path", table.Name("path"), prefix)
 	}
+	if len(prefix) > maxPathLength {
+		table.Report("path", "", "%s has %d bytes; the limit is %d", table.Name("path"), len(prefix), maxPathLength)
+	}
 	if prefix == "/healthz" {
 		table.Report("path", "another path", "%s = %q is kept for the balancer's health check", table.Name("path"), prefix)
 	}
