Ready sets: two spares beside the five voters

Cause: a VM that is gone for good can only be replaced by a process that stands by; without a spare the cluster stays one voter short. Ruled out: more voters, since each one costs a copy of every commit. State: go test ./internal/settings passes.

--- a/internal/settings/examples_test.go
+++ b/internal/settings/examples_test.go
@@ -25,9 +25,9 @@
 
 // TestReadySets checks the files of one deployment against each other.
 func TestReadySets(t *testing.T) {
-	for user, want := range map[string]struct{ machines, voters int }{
-		"despacho":   {12, 5},
-		"sagarmatha": {9, 5},
+	for user, want := range map[string]struct{ machines, voters, spares int }{
+		"despacho":   {12, 5, 2},
+		"sagarmatha": {9, 5, 2},
 	} {
 		t.Run(user, func(t *testing.T) {
 			is := is.New(t)
@@ -44,7 +44,7 @@
 				names[loaded.Name] = true
 				addresses[loaded.Entry.Listen] = true
 				addresses[loaded.Entry.AnnounceListen] = true
-				is.Equal(len(loaded.Entry.Control), want.voters)
+				is.Equal(len(loaded.Entry.Control), want.voters+want.spares)
 				if loaded.Control == nil {
 					continue
 				}
@@ -54,10 +54,11 @@
 					members = loaded.Control.Members
 				}
 				is.Equal(loaded.Control.Members, members) // the same list everywhere
+				is.Equal(len(loaded.Control.Voters()), want.voters)
 			}
-			is.Equal(len(names), want.machines)                   // no name twice
-			is.Equal(len(addresses), 2*want.machines+want.voters) // no address twice
-			is.Equal(controls, want.voters)
+			is.Equal(len(names), want.machines)                               // no name twice
+			is.Equal(len(addresses), 2*want.machines+want.voters+want.spares) // no address twice
+			is.Equal(controls, want.voters+want.spares)
 		})
 	}
 }
