--- a/internal/tomlfile/values.go
+++ b/internal/tomlfile/values.go
@@ -140,27 +140,46 @@
 	return duration
 }
 
+// firstYear is the first in which a point in time may lie. Earlier ones are
+// mistakes, and the system counts time from 1970.
+const firstYear = 2000
+
+const timeAllowed = "a time with its zone as in RFC 3339, such as 2027-01-15T05:30:00-03:00"
+
 // Time returns a point in time; zero if absent or wrong.
 func (t *Table) Time(key string) time.Time {
 	value, ok := t.get(key)
 	if !ok {
 		return time.Time{}
 	}
-	const allowed = "a time with its zone as in RFC 3339, such as 2027-01-15T05:30:00-03:00"
+	at, problem := parseTime(value)
+	if problem != "" {
+		t.Report(key, timeAllowed, "%s = %v %s", t.Name(key), quote(value), problem)
+		return time.Time{}
+	}
+	return at
+}
+
+func parseTime(value any) (at time.Time, problem string) {
 	switch v := value.(type) {
 	case time.Time:
-		if strings.HasSuffix(v.Location().String(), "-local") {
-			t.Report(key, allowed, "%s has no zone", t.Name(key))
-			return time.Time{}
+		if hasNoZone(v) {
+			return time.Time{}, "has no zone"
 		}
-		return v
+		at = v
 	case string:
-		if parsed, err := time.Parse(time.RFC3339, v); err == nil {
-			return parsed
+		parsed, err := time.Parse(time.RFC3339, v)
+		if err != nil {
+			return time.Time{}, "is no time"
 		}
+		at = parsed
+	default:
+		return time.Time{}, "is no time"
+	}
+	if at.Year() < firstYear {
+		return time.Time{}, "lies before the year 2000"
 	}
-	t.Report(key, allowed, "%s = %v is no time", t.Name(key), quote(value))
-	return time.Time{}
+	return at, ""
 }
 
 // Address returns an IP address with a port, or "" if it is absent or wrong.
