--- a/internal/daemon/control_role.go
+++ b/internal/daemon/control_role.go
@@ -11,9 +11,11 @@
 	"github.com/pistachioport/pistachioport/internal/balance/shares"
 	"github.com/pistachioport/pistachioport/internal/clock"
 	"github.com/pistachioport/pistachioport/internal/control"
+	"github.com/pistachioport/pistachioport/internal/placement"
 	"github.com/pistachioport/pistachioport/internal/replica"
 	"github.com/pistachioport/pistachioport/internal/state"
 	"github.com/pistachioport/pistachioport/internal/state/claims"
+	"github.com/pistachioport/pistachioport/internal/state/tasks"
 )
 
 const (
@@ -34,7 +36,8 @@
 
 func newControlRole(p *process) (*controlRole, error) {
 	system := clock.System{}
-	store := state.New(state.Options{Claims: claims.New(claims.Options{})})
+	taskTable := tasks.New()
+	store := state.New(state.Options{Claims: claims.New(claims.Options{}), Tasks: taskTable})
 	log, err := replica.New(replica.Config{
 		DataDir:       p.settings.Data,
 		Name:          p.settings.Name,
@@ -52,16 +55,20 @@
 	if err != nil {
 		return nil, err
 	}
+	duty := placement.New(placement.Config{
+		Log: log, Tasks: taskTable, Clock: system, Logger: p.logger, Metrics: p.registry,
+	})
 	server, err := control.New(control.Config{
-		Log:      log,
-		Store:    store,
-		Clock:    system,
-		Logger:   p.logger,
-		Metrics:  p.registry,
-		Name:     p.settings.Name,
-		Address:  p.settings.Control.Advertise,
-		Peers:    peers(p),
-		NewSlots: func() control.SlotLedger { return shares.NewLedger(shares.Options{Clock: system}) },
+		Log:       log,
+		Store:     store,
+		Clock:     system,
+		Logger:    p.logger,
+		Metrics:   p.registry,
+		Name:      p.settings.Name,
+		Address:   p.settings.Control.Advertise,
+		Peers:     peers(p),
+		Placement: duty,
+		NewSlots:  func() control.SlotLedger { return shares.NewLedger(shares.Options{Clock: system}) },
 	})
 	if err != nil {
 		return nil, err
--- a/internal/daemon/entry_role.go
+++ b/internal/daemon/entry_role.go
@@ -1,12 +1,94 @@
 package daemon
 
-import "context"
+import (
+	"context"
+	"time"
 
-type entryRole struct{}
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
-func newEntryRole(*process) (*entryRole, error) { return &entryRole{}, nil }
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/entry"
+	"github.com/pistachioport/pistachioport/internal/rpc"
+)
 
-func (*entryRole) run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+// announceReadTimeout bounds how long an announcement may take to arrive.
+const announceReadTimeout = 10 * time.Second
+
+// entryRole serves callers and takes endpoints' announcements.
+type entryRole struct {
+	server       *entry.Server
+	client       *rpc.Client
+	callers      *listener
+	announce     *listener
+	drainTimeout time.Duration
+}
+
+func newEntryRole(p *process) (*entryRole, error) {
+	s := p.settings.Entry
+	client := rpc.NewClient(rpc.Options{Addresses: s.Control})
+	server, err := entry.New(entry.Config{
+		Name:    p.settings.Name,
+		Address: s.Advertise,
+		Location: &apiv1.Location{
+			Region:        p.settings.Region,
+			FailureDomain: p.settings.FailureDomain,
+			Rack:          p.settings.Rack,
+		},
+		Client:         client,
+		Logger:         p.logger,
+		Metrics:        p.registry,
+		MetricsHandler: p.exposed,
+		Limits: entry.Limits{
+			DefaultTimeout: s.DefaultTimeout,
+			MaxQueue:       s.QueueLength,
+			MaxBody:        s.MaxBody,
+		},
+		BalancerDelay: s.DrainDelay,
+	})
+	if err != nil {
+		return nil, err
+	}
+	role := &entryRole{server: server, client: client, drainTimeout: s.DrainTimeout}
+	// Callers may stream their bodies for as long as their deadline allows, so
+	// the entry itself bounds them.
+	role.callers, err = listen(s.Listen, server.CallerHandler(), 0, p.logger)
+	if err != nil {
+		return nil, err
+	}
+	role.announce, err = listen(s.AnnounceListen, server.AnnounceHandler(), announceReadTimeout, p.logger)
+	if err != nil {
+		return nil, err
+	}
+	return role, nil
+}
+
+// run serves until ctx ends, then drains while the lease is still renewed.
+func (r *entryRole) run(ctx context.Context) error {
+	defer r.client.Close()
+	group, failed := errgroup.WithContext(context.WithoutCancel(ctx))
+	serverContext, stopServer := context.WithCancel(failed)
+	defer stopServer()
+
+	group.Go(r.callers.serve)
+	group.Go(r.announce.serve)
+	group.Go(func() error { return r.server.Run(serverContext) })
+	group.Go(func() error {
+		defer stopServer()
+		defer r.announce.close()
+		defer r.callers.close()
+		select {
+		case <-ctx.Done():
+			return r.drain()
+		case <-failed.Done():
+			return nil
+		}
+	})
+	return group.Wait()
+}
+
+func (r *entryRole) drain() error {
+	ctx, cancel := context.WithTimeout(context.Background(), r.drainTimeout)
+	defer cancel()
+	return errors.Wrapf(r.server.Drain(ctx), "drain within %v", r.drainTimeout)
 }
