--- a/internal/fake/endpoint/endpoint.go
+++ b/internal/fake/endpoint/endpoint.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -53,7 +54,7 @@
 		announced: make(chan struct{}),
 	}
 	e.SetBehaviour(options.Behaviour)
-	e.announcer = newAnnouncer(options, e.address)
+	e.announcer = newAnnouncer(options, cmp.Or(options.Advertise, e.address))
 	e.server = &http.Server{Handler: e.handler(), ConnState: e.countConnection, ReadHeaderTimeout: readHeaderTimeout}
 	e.serving.Go(func() error { return ignoreClosed(e.server.Serve(listener)) })
 	e.renewing.Go(func() error { return e.announcer.run(ctx, e.announced) })
@@ -75,13 +76,19 @@
 // SetBehaviour changes how later requests are answered.
 func (e *Endpoint) SetBehaviour(b Behaviour) { e.behaviour.Store(&b) }
 
+// Withdraw says that the endpoint leaves, and goes on serving. It returns the
+// time after which no entry sends it new work.
+func (e *Endpoint) Withdraw(ctx context.Context) (time.Duration, error) {
+	e.cancel()
+	_ = e.renewing.Wait() // a renewal in flight must not follow the withdrawal
+	return e.announcer.withdraw(ctx)
+}
+
 // Stop withdraws the endpoint, keeps serving until no entry may send it new
 // work, finishes what is in flight and returns. On an error, or when ctx ends
 // first, it closes all connections.
 func (e *Endpoint) Stop(ctx context.Context) error {
-	e.cancel()
-	_ = e.renewing.Wait() // a renewal in flight must not follow the withdrawal
-	quiet, err := e.announcer.withdraw(ctx)
+	quiet, err := e.Withdraw(ctx)
 	if err == nil {
 		wait(ctx, quiet)
 		err = e.server.Shutdown(ctx)
--- a/internal/fake/endpoint/options.go
+++ b/internal/fake/endpoint/options.go
@@ -21,6 +21,7 @@
 	ID          string // default: random
 	Service     string
 	Listen      string   // default: a free loopback port
+	Advertise   string   // host:port to announce; default: where it listens
 	Announce    []string // announce addresses of entries; any one will do
 	Location    *apiv1.Location
 	Slots       int32  // default 8
--- a/test/failure/cluster_test.go
+++ b/test/failure/cluster_test.go
@@ -8,8 +8,6 @@
 	"strings"
 	"testing"
 
-	"github.com/matryer/is"
-
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 	"github.com/pistachioport/pistachioport/internal/rpc"
 )
@@ -174,8 +172,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	_, err := c.client.Control().InitCluster(ctx, &apiv1.InitClusterRequest{Members: members, Operator: "test"})
-	is.New(c.t).NoErr(err)
+	c.await("every control process to serve", func() bool {
+		_, err := c.client.Control().InitCluster(ctx, &apiv1.InitClusterRequest{Members: members, Operator: "test"})
+		return err == nil
+	})
 }
 
 func (c *cluster) close() {
--- /dev/null
+++ b/test/failure/links_test.go
@@ -0,0 +1,74 @@
+package failure_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"github.com/pistachioport/pistachioport/internal/fake/relay"
+)
+
+// links puts a relay between each pair of processes that asks for one, so that
+// a test can cut any of them.
+type links struct {
+	t *testing.T
+
+	mu     sync.Mutex
+	relays map[string]map[string]*relay.Relay // by dialing process, then by target
+}
+
+func newLinks(t *testing.T) *links {
+	return &links{t: t, relays: make(map[string]map[string]*relay.Relay)}
+}
+
+// between returns the address under which the process from reaches to.
+func (l *links) between(from, to, address string) string {
+	l.t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	started, err := relay.Start(context.Background(), address)
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	l.t.Cleanup(started.Close)
+	if l.relays[from] == nil {
+		l.relays[from] = make(map[string]*relay.Relay)
+	}
+	l.relays[from][to] = started
+	return started.Address()
+}
+
+// silence swallows all bytes of the process's own connections, both ways.
+func (l *links) silence(from string) {
+	l.set(func(f, _ string) bool { return f == from }, relay.Fault{SwallowToTarget: true, SwallowToClient: true})
+}
+
+// silenceBothWays cuts the process off from everybody, whoever dials.
+func (l *links) silenceBothWays(name string) {
+	l.set(func(f, to string) bool { return f == name || to == name },
+		relay.Fault{SwallowToTarget: true, SwallowToClient: true})
+}
+
+// silenceOutgoing swallows what the process sends on connections that it or
+// others opened; what others send still arrives.
+func (l *links) silenceOutgoing(name string) {
+	l.set(func(f, _ string) bool { return f == name }, relay.Fault{SwallowToTarget: true})
+	l.set(func(_, to string) bool { return to == name }, relay.Fault{SwallowToClient: true})
+}
+
+// restore lets everything from and to the process pass again.
+func (l *links) restore(name string) {
+	l.set(func(f, to string) bool { return f == name || to == name }, relay.Fault{})
+}
+
+func (l *links) set(match func(from, to string) bool, fault relay.Fault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for from, targets := range l.relays {
+		for to, r := range targets {
+			if match(from, to) {
+				r.SetFault(fault)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/test/failure/load_test.go
@@ -0,0 +1,168 @@
+package failure_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/pistachioport/pistachioport/internal/fake/endpoint"
+)
+
+const (
+	loadCallers  = 8
+	loadPause    = 10 * time.Millisecond // between two requests of a caller
+	loadDeadline = 10 * time.Second      // of each request
+
+	// withdrawalLimit is the stated bound after which a leaving endpoint
+	// receives nothing new.
+	withdrawalLimit = 4 * time.Second
+)
+
+// load sends idempotent requests steadily and counts those that were not
+// answered in full.
+type load struct {
+	cluster *cluster
+	cancel  context.CancelFunc
+	callers errgroup.Group
+
+	sent   atomic.Int64
+	failed atomic.Int64
+
+	mu       sync.Mutex
+	failures []string
+}
+
+// startLoad sends requests to the addresses that targets returns, in turn.
+func startLoad(c *cluster, client *caller, targets func() []string) *load {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &load{cluster: c, cancel: cancel}
+	c.t.Cleanup(l.stop)
+	for id := range loadCallers {
+		l.callers.Go(func() error {
+			l.run(ctx, client, id, targets)
+			return nil
+		})
+	}
+	return l
+}
+
+func (l *load) run(ctx context.Context, client *caller, id int, targets func() []string) {
+	ticker := time.NewTicker(loadPause)
+	defer ticker.Stop()
+	for n := id; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		addresses := targets()
+		if len(addresses) == 0 {
+			continue
+		}
+		address := addresses[n%len(addresses)]
+		body := fmt.Sprintf("caller %d request %d", id, n)
+		r := client.send(address, http.MethodPut, plansPath, "", body, loadDeadline)
+		l.sent.Add(1)
+		if !r.done() || r.body != body {
+			l.fail(address, body, r)
+		}
+	}
+}
+
+func (l *load) fail(address, body string, r reply) {
+	l.failed.Add(1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failures = append(l.failures, fmt.Sprintf("%s at %s: status %d, outcome %q, error %v, answer %q",
+		body, address, r.status, r.outcome, r.err, r.body))
+}
+
+// more waits until that many more requests were answered.
+func (l *load) more(count int64) {
+	l.cluster.t.Helper()
+	from := l.sent.Load()
+	l.cluster.await("requests to be answered", func() bool { return l.sent.Load() >= from+count })
+}
+
+func (l *load) stop() {
+	l.cancel()
+	_ = l.callers.Wait()
+}
+
+func (l *load) expectNoFailure() {
+	l.cluster.t.Helper()
+	l.cluster.t.Logf("%d requests, %d failed", l.sent.Load(), l.failed.Load())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, failure := range l.failures {
+		if i == 5 {
+			break
+		}
+		l.cluster.t.Error(failure)
+	}
+}
+
+// balancer stands for the platform's: it sends work to the entries whose
+// health check passes.
+type balancer struct {
+	present atomic.Pointer[[]string]
+	cancel  context.CancelFunc
+	checks  errgroup.Group
+}
+
+// startBalancer checks every entry's health often enough to notice a failure
+// within the entries' balancer delay.
+func startBalancer(c *cluster, client *caller) *balancer {
+	const checkPause = 50 * time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &balancer{cancel: cancel}
+	b.check(c, client)
+	b.checks.Go(func() error {
+		ticker := time.NewTicker(checkPause)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-ticker.C:
+				b.check(c, client)
+			}
+		}
+	})
+	c.t.Cleanup(b.stop)
+	return b
+}
+
+func (b *balancer) check(c *cluster, client *caller) {
+	var healthy []string
+	for _, e := range c.entries {
+		if client.healthy(e.callers) {
+			healthy = append(healthy, e.callers)
+		}
+	}
+	b.present.Store(&healthy)
+}
+
+func (b *balancer) healthy() []string { return *b.present.Load() }
+
+func (b *balancer) stop() {
+	b.cancel()
+	_ = b.checks.Wait()
+}
+
+// withdraw says that the endpoint leaves, and returns when that was
+// acknowledged. The endpoint goes on serving.
+func withdraw(c *cluster, leaving *endpoint.Endpoint) time.Time {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if _, err := leaving.Withdraw(ctx); err != nil {
+		c.t.Fatalf("withdraw %s: %v", leaving.ID(), err)
+	}
+	return time.Now()
+}
