--- a/internal/command/fake/root.go
+++ b/internal/command/fake/root.go
@@ -21,7 +21,7 @@
 	root.SetOut(out)
 	root.SetErr(errOut)
 	root.SetArgs(arguments)
-	root.AddCommand(newEndpointCommand(), newCallCommand(), newPortsCommand())
+	root.AddCommand(newEndpointCommand(), newWorkerCommand(), newCallCommand(), newPortsCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		_, _ = fmt.Fprintf(errOut, "pistachiofake: %v\n", err)
 		return 1
--- a/internal/command/fake/root_test.go
+++ b/internal/command/fake/root_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -108,3 +109,48 @@
 	is.Equal(<-ended, 0)
 	is.Equal(entry.withdrawn.Load(), int64(2))
 }
+
+// leader counts the workers that renew.
+type leader struct {
+	mu      sync.Mutex
+	workers map[string]*apiv1.Worker
+	all     chan struct{} // closed once three are known
+}
+
+func (l *leader) Renew(_ context.Context, request *apiv1.RenewWorkerRequest) (*apiv1.RenewWorkerResponse, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := len(l.workers)
+	l.workers[request.GetWorker().GetName()] = request.GetWorker()
+	if known == 2 && len(l.workers) == 3 {
+		close(l.all)
+	}
+	return &apiv1.RenewWorkerResponse{LeaseMs: 4000, OrdersUnchanged: true}, nil
+}
+
+func TestWorkersRenewUntilStopped(t *testing.T) {
+	is := is.New(t)
+	l := &leader{workers: map[string]*apiv1.Worker{}, all: make(chan struct{})}
+	server := httptest.NewServer(apiv1.NewPlatformServer(l))
+	defer server.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan int, 1)
+	go func() {
+		ended <- fake.Execute(ctx, io.Discard, io.Discard, []string{
+			"worker", "--count", "3", "--processors", "0.5", "--memory-gib", "2", "--failure-domains", "a,b",
+			"--control", server.Listener.Addr().String(),
+		})
+	}()
+	<-l.all
+	cancel()
+	is.Equal(<-ended, 0)
+	is.Equal(l.workers["worker-1"].GetLocation().GetFailureDomain(), "a")
+	is.Equal(l.workers["worker-2"].GetLocation().GetFailureDomain(), "b")
+	is.Equal(l.workers["worker-3"].GetCapacity().GetCpuMillis(), int64(500))
+	is.Equal(l.workers["worker-3"].GetCapacity().GetMemoryBytes(), int64(2<<30))
+
+	code, _, errs := run("worker")
+	is.Equal(code, 1)
+	is.True(strings.Contains(errs, "--control"))
+}
