--- a/internal/command/fake/endpoint.go
+++ b/internal/command/fake/endpoint.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,6 +31,7 @@
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			options.Location = &options.location
+			options.Logger = slog.New(slog.NewTextHandler(command.ErrOrStderr(), nil))
 			return runEndpoints(command.Context(), command.OutOrStdout(), &options)
 		},
 	}
@@ -41,8 +43,8 @@
 	flags.IntVar(&options.count, "count", 1, "number of endpoints")
 	flags.Int32Var(&options.Slots, "slots", 0, "requests at once (default 8)")
 	flags.Int32Var(&options.Connections, "connections", 0, "connections at once (default 64)")
-	flags.StringVar(&options.location.Region, "region", "", "region")
-	flags.StringVar(&options.location.FailureDomain, "failure-domain", "", "failure domain")
+	flags.StringVar(&options.location.Region, "region", "demo", "region")
+	flags.StringVar(&options.location.FailureDomain, "failure-domain", "domain-1", "failure domain")
 	flags.DurationVar(&options.Behaviour.Delay, "delay", 0, "time between receipt and answer")
 	return command
 }
--- a/internal/fake/endpoint/announcer.go
+++ b/internal/fake/endpoint/announcer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -28,6 +29,7 @@
 	entries  []string
 	next     int
 	client   *http.Client
+	logger   *slog.Logger
 }
 
 func newAnnouncer(options Options, address string) *announcer {
@@ -43,6 +45,7 @@
 		},
 		entries: options.Announce,
 		client:  &http.Client{Timeout: callTimeout, Transport: &http.Transport{}},
+		logger:  options.Logger.With("endpoint", options.ID),
 	}
 }
 
@@ -50,9 +53,13 @@
 // announced after the first success.
 func (a *announcer) run(ctx context.Context, announced chan<- struct{}) error {
 	defer a.client.CloseIdleConnections()
-	known, first := false, true
+	known, first, failing := false, true, false
 	for ctx.Err() == nil {
 		lease, stillKnown, err := a.step(ctx, known)
+		if failed := err != nil; failed != failing {
+			failing = failed
+			a.logger.Info("announcements", "failing", failing, "error", err)
+		}
 		if err != nil {
 			wait(ctx, retryPause)
 			continue
@@ -132,7 +139,7 @@
 		return errors.Wrapf(err, "read answer of %s", entry)
 	}
 	if answer.StatusCode != http.StatusOK {
-		return errors.Newf("%s of %s answered with %s", method, entry, answer.Status)
+		return errors.Newf("%s of %s answered with %s: %s", method, entry, answer.Status, text)
 	}
 	return errors.Wrapf(protojson.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(text, response), "decode answer of %s", entry)
 }
--- a/internal/fake/endpoint/options.go
+++ b/internal/fake/endpoint/options.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"log/slog"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,6 +28,7 @@
 	Connections int32  // default 64
 	Attempt     string // the task attempt that runs it, if any
 	Behaviour   Behaviour
+	Logger      *slog.Logger // default: none
 }
 
 func (o Options) withDefaults() (Options, error) {
@@ -39,6 +41,9 @@
 	if o.ID == "" {
 		o.ID = uuid.NewString()
 	}
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
 	if o.Listen == "" {
 		o.Listen = defaultListen
 	}
