--- a/internal/control/discovery.go
+++ b/internal/control/discovery.go
@@ -40,11 +40,16 @@
 	}, nil
 }
 
-// announce commits the announcement, unless it changes nothing.
+// announce commits the announcement, unless it changes nothing. The lease is
+// accounted for from before the endpoint can be seen: otherwise it would look
+// like one of which nothing was heard in this term.
 func (s discovery) announce(ctx context.Context, l *leadership, endpoint *apiv1.Endpoint) (uint64, error) {
 	if err := l.confirm(ctx); err != nil {
 		return 0, err
 	}
+	if !l.endpoints.Answer(endpoint.GetId()) {
+		return 0, s.notLeader() // it is being removed; the caller tries again
+	}
 	if present, ok := s.Store.Endpoint(endpoint.GetId()); ok {
 		same := proto.CloneOf(endpoint)
 		same.Revision = present.GetRevision()
@@ -53,7 +58,11 @@
 		}
 	}
 	command := &apiv1.EndpointCommand{Announce: []*apiv1.Endpoint{endpoint}}
-	return s.proposeEndpoint(ctx, command)
+	revision, err := s.proposeEndpoint(ctx, command)
+	if _, known := s.Store.Endpoint(endpoint.GetId()); !known {
+		l.endpoints.Forget(endpoint.GetId())
+	}
+	return revision, err
 }
 
 func (s discovery) proposeEndpoint(ctx context.Context, command *apiv1.EndpointCommand) (uint64, error) {
@@ -83,19 +92,22 @@
 	}
 }
 
-// Renew extends an endpoint's lease, which the leader alone keeps.
+// Renew extends an endpoint's lease, which the leader alone keeps. The answer
+// is accounted for before the state is read: an expiry committed earlier then
+// shows, and none begins until the lease has run out again.
 func (s discovery) Renew(ctx context.Context, request *apiv1.RenewEndpointRequest) (*apiv1.RenewEndpointResponse, error) {
 	l, err := s.reading(ctx)
 	if err != nil {
 		return nil, err
 	}
 	id := request.GetId()
-	if _, known := s.Store.Endpoint(id); !known {
-		return &apiv1.RenewEndpointResponse{}, nil
-	}
 	if !l.endpoints.Answer(id) {
 		return &apiv1.RenewEndpointResponse{}, nil // it is being removed
 	}
+	if _, known := s.Store.Endpoint(id); !known {
+		l.endpoints.Forget(id)
+		return &apiv1.RenewEndpointResponse{}, nil
+	}
 	return &apiv1.RenewEndpointResponse{
 		Known:   true,
 		LeaseMs: l.endpoints.Length().Milliseconds(),
--- a/internal/control/discovery_test.go
+++ b/internal/control/discovery_test.go
@@ -85,3 +85,26 @@
 	_, err := r.discovery().Announce(t.Context(), &apiv1.AnnounceRequest{})
 	is.True(err != nil)
 }
+
+func TestEndpointDoesNotExpireBeforeItsAnnouncementIsAnswered(t *testing.T) {
+	r := newRig(t)
+	is := is.New(t)
+	r.lead()
+	const moment = time.Millisecond
+	is.NoErr(r.announce("old"))
+	r.clock.Advance(leaseWait - moment)
+	is.True(r.renewEndpoint("old"))
+	r.clock.Advance(moment) // the leader has led for longer than a lease
+	r.log.onApplied(func(command *apiv1.Command) {
+		if len(command.GetEndpoint().GetAnnounce()) == 0 {
+			return
+		}
+		r.clock.Advance(leaseWait - moment)
+		r.eventually("the old endpoint expires", func() bool {
+			_, known := r.store.Endpoint("old")
+			return !known
+		})
+	})
+	is.NoErr(r.announce("new"))
+	is.True(r.renewEndpoint("new"))
+}
--- a/internal/control/fake_log_test.go
+++ b/internal/control/fake_log_test.go
@@ -22,7 +22,8 @@
 	gate     chan struct{} // when set, barriers wait until it is closed
 	handed   int           // transfers of leadership
 	commands []*apiv1.Command
-	changes  []string // membership changes asked for
+	changes  []string             // membership changes asked for
+	applied  func(*apiv1.Command) // when set, called before a proposal is answered
 }
 
 // otherLeader is the address of the process that leads when this one does not.
@@ -112,14 +113,29 @@
 }
 
 func (f *fakeLog) Propose(_ context.Context, command *apiv1.Command) (*apiv1.CommandResult, error) {
+	result, applied, err := f.apply(command)
+	if err == nil && applied != nil {
+		applied(command)
+	}
+	return result, err
+}
+
+func (f *fakeLog) apply(command *apiv1.Command) (*apiv1.CommandResult, func(*apiv1.Command), error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.status.IsLeader {
-		return nil, replica.ErrNotLeader
+		return nil, nil, replica.ErrNotLeader
 	}
 	f.index++
 	f.commands = append(f.commands, proto.CloneOf(command))
-	return f.machine.Apply(f.index, command), nil
+	return f.machine.Apply(f.index, command), f.applied, nil
+}
+
+// onApplied calls the function with each command before its proposal returns.
+func (f *fakeLog) onApplied(hook func(*apiv1.Command)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.applied = hook
 }
 
 func (f *fakeLog) Barrier(ctx context.Context) error {
--- /dev/null
+++ b/internal/lease/rapid_test.go
@@ -0,0 +1,139 @@
+package lease_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/pistachioport/pistachioport/internal/clock"
+	"github.com/pistachioport/pistachioport/internal/lease"
+)
+
+// TestMain fixes the seed of rapid, so that every run draws the same cases.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true", "rapid.checks": "3000"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// pair is a holder and a granter on two machines, whose clocks run at rates
+// that differ by less than the allowance, are stepped and suspended.
+type pair struct {
+	holderClock  *clock.Manual
+	granterClock *clock.Manual
+	rate         float64 // of the holder's clock
+
+	holder  *lease.Holder
+	granter *lease.Granter
+
+	requests []clock.Reading // sent, not yet received
+	answers  []clock.Reading // answered, not yet received
+	gone     bool            // an expiry was committed
+}
+
+func (p *pair) send(*rapid.T) {
+	p.requests = append(p.requests, p.holder.Sending())
+}
+
+func (p *pair) receive(t *rapid.T) {
+	if len(p.requests) == 0 || p.gone {
+		t.Skip("nothing to answer")
+	}
+	i := rapid.IntRange(0, len(p.requests)-1).Draw(t, "request")
+	if p.granter.Answer("h") {
+		p.answers = append(p.answers, p.requests[i])
+	}
+}
+
+func (p *pair) extend(t *rapid.T) {
+	if len(p.answers) == 0 {
+		t.Skip("nothing was answered")
+	}
+	i := rapid.IntRange(0, len(p.answers)-1).Draw(t, "answer")
+	p.holder.Extend(p.answers[i], length)
+}
+
+// pass lets time pass on both machines.
+func (p *pair) pass(t *rapid.T) {
+	by := drawDuration(t)
+	p.granterClock.Advance(by)
+	p.holderClock.Advance(time.Duration(float64(by) * p.rate))
+}
+
+// suspendHolder stops the holder's VM, which the other machine does not notice.
+func (p *pair) suspendHolder(t *rapid.T) {
+	by := drawDuration(t)
+	p.granterClock.Advance(by)
+	p.holderClock.Suspend(time.Duration(float64(by) * p.rate))
+}
+
+// suspendGranter stops the granter's VM.
+func (p *pair) suspendGranter(t *rapid.T) {
+	by := drawDuration(t)
+	p.granterClock.Suspend(by)
+	p.holderClock.Advance(time.Duration(float64(by) * p.rate))
+}
+
+func (p *pair) stepWalls(t *rapid.T) {
+	steps := rapid.SampledFrom([]time.Duration{-time.Hour, -time.Second, 0, 100 * time.Millisecond, time.Hour})
+	p.granterClock.StepWall(steps.Draw(t, "granter"))
+	p.holderClock.StepWall(steps.Draw(t, "holder"))
+}
+
+// drawDuration draws times around the length of a lease most often.
+func drawDuration(t *rapid.T) time.Duration {
+	const wait = length + length/20 // with the drift allowance
+	return rapid.SampledFrom([]time.Duration{
+		time.Millisecond, time.Second, length - time.Second, length - 1, length, wait - 1, wait,
+	}).Draw(t, "time")
+}
+
+func (p *pair) expire(t *rapid.T) {
+	if p.gone || !p.granter.BeginExpiry("h") {
+		return
+	}
+	p.gone = rapid.Bool().Draw(t, "committed")
+	p.granter.EndExpiry("h")
+}
+
+// elect makes a new leader, on the same machine for simplicity.
+func (p *pair) elect(*rapid.T) {
+	p.granter = lease.NewGranter(p.granterClock, length, drift)
+}
+
+func (p *pair) check(t *rapid.T) {
+	if p.gone && p.holder.Valid() {
+		t.Fatal("the holder's lease runs after its expiry was committed")
+	}
+}
+
+func TestNoLeaseRunsAfterItsExpiry(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Unix(1_700_000_000, 0)
+		p := &pair{
+			holderClock:  clock.NewManual(start),
+			granterClock: clock.NewManual(start),
+			rate:         rapid.Float64Range(0.96, 1.04).Draw(t, "rate"),
+		}
+		p.holder = lease.NewHolder(p.holderClock)
+		p.elect(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"send":            p.send,
+			"receive":         p.receive,
+			"extend":          p.extend,
+			"pass":            p.pass,
+			"suspend holder":  p.suspendHolder,
+			"suspend granter": p.suspendGranter,
+			"step walls":      p.stepWalls,
+			"expire":          p.expire,
+			"elect":           p.elect,
+			"":                p.check,
+		})
+	})
+}
--- a/internal/state/endpoints.go
+++ b/internal/state/endpoints.go
@@ -29,6 +29,7 @@
 type endpointTable struct {
 	mu        sync.RWMutex
 	endpoints map[string]*apiv1.Endpoint // values are replaced, never changed
+	sorted    []*apiv1.Endpoint          // all by id; nil: to be made anew
 	changes   []*apiv1.EndpointChange    // oldest first
 	since     uint64                     // every change after this revision is kept
 	withdrawn *withdrawnIDs
@@ -109,7 +110,9 @@
 	return true
 }
 
+// note records a change for those who follow.
 func (t *endpointTable) note(id string, revision uint64) {
+	t.sorted = nil
 	t.changes = append(t.changes, &apiv1.EndpointChange{Revision: revision, Id: id})
 	if excess := len(t.changes) - maxEndpointChanges; excess > 0 {
 		t.since = t.changes[excess-1].GetRevision()
@@ -131,20 +134,42 @@
 	return endpoint, ok
 }
 
-// list returns the endpoints of a service, or all, sorted by id.
+// list returns the endpoints of a service, or all, sorted by id. The caller
+// may change the slice, but not the endpoints.
 func (t *endpointTable) list(service string) []*apiv1.Endpoint {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	found := make([]*apiv1.Endpoint, 0, len(t.endpoints))
-	for _, endpoint := range t.endpoints {
-		if service == "" || endpoint.GetService() == service {
+	all := t.listAll()
+	if service == "" {
+		return slices.Clone(all)
+	}
+	var found []*apiv1.Endpoint
+	for _, endpoint := range all {
+		if endpoint.GetService() == service {
 			found = append(found, endpoint)
 		}
 	}
-	sortEndpoints(found)
 	return found
 }
 
+// listAll returns all endpoints in a slice that is shared.
+func (t *endpointTable) listAll() []*apiv1.Endpoint {
+	t.mu.RLock()
+	sorted := t.sorted
+	t.mu.RUnlock()
+	if sorted != nil {
+		return sorted
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.sorted == nil {
+		t.sorted = make([]*apiv1.Endpoint, 0, len(t.endpoints))
+		for _, endpoint := range t.endpoints {
+			t.sorted = append(t.sorted, endpoint)
+		}
+		sortEndpoints(t.sorted)
+	}
+	return t.sorted
+}
+
 func sortEndpoints(endpoints []*apiv1.Endpoint) {
 	slices.SortFunc(endpoints, func(a, b *apiv1.Endpoint) int {
 		return cmp.Compare(a.GetId(), b.GetId())
--- a/internal/state/endpoints_snapshot.go
+++ b/internal/state/endpoints_snapshot.go
@@ -25,6 +25,7 @@
 	for _, endpoint := range snapshot.GetEndpoints() {
 		t.endpoints[endpoint.GetId()] = endpoint
 	}
+	t.sorted = nil
 	t.changes = snapshot.GetChanges()
 	t.since = snapshot.GetChangesSince()
 	t.withdrawn = newWithdrawnIDs()
