--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -19,7 +19,10 @@
 	defaultEndpointLease = 6 * time.Second
 	defaultDrift         = 0.05 // share by which two machines' clock rates may differ
 	defaultLostAfter     = 30 * time.Second
-	defaultGoneAfter     = 2 * time.Minute
+
+	// A VM that restarts is away for longer than one whose disk was lost needs
+	// to be found out, and its disk is worth waiting for.
+	goneToLostRatio = 4
 )
 
 // Peer is a control process as the settings name it.
@@ -76,7 +79,7 @@
 		c.Repair.LostAfter = defaultLostAfter
 	}
 	if c.Repair.GoneAfter == 0 {
-		c.Repair.GoneAfter = defaultGoneAfter
+		c.Repair.GoneAfter = goneToLostRatio * c.Repair.LostAfter
 	}
 	if c.RepairInterval == 0 {
 		c.RepairInterval = repairInterval
