Model of claims; abort of a resend, and refusals after a take

Cause: claim.pml found two false words. An attempt that aborted its own claim said "not run" although another attempt of the key had been sent; and an attempt whose take was refused said "not run" without an abort when it found the key free later, while a copy of its take was still on its way. Ruled out: forgetting aborted attempts after the abort (planted fault found). Change: an abort's answer counts as "not run" only if nobody holds the key; every refusal after a take commits an abort first. A table that is full still takes an eighth more of aborts. Shown failing first: TestAbortOfAResendWhileTheOrderRuns got not-run before.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -55,9 +55,17 @@
 	})
 }
 
-// abort commits that the attempt was not and will never be sent, and reports
-// whether that is certain.
-func (s *Server) abort(c *call, k *claim, reason string) bool {
+// fate is what is known of a key after an attempt's abort.
+type fate int
+
+const (
+	fateUnknown fate = iota // the abort may not be committed
+	fateFree                // no attempt holds the key
+	fateHeld                // another attempt holds the key, or has settled it
+)
+
+// abort commits that the attempt was not and will never be sent.
+func (s *Server) abort(c *call, k *claim, reason string) fate {
 	ctx, cancel := context.WithTimeout(s.background, max(0, c.left())+s.limits.ClaimTimeout)
 	defer cancel()
 	s.metrics.aborts.Inc(1)
@@ -69,7 +77,14 @@
 			Attempt: k.attempt,
 		}},
 	})
-	return err == nil && result.GetWon()
+	switch {
+	case err != nil || !result.GetWon():
+		return fateUnknown
+	case isFree(result.GetState()):
+		return fateFree
+	default:
+		return fateHeld
+	}
 }
 
 // settle records the outcome for callers that send again. It goes on after
--- a/internal/entry/codes.go
+++ b/internal/entry/codes.go
@@ -14,6 +14,7 @@
 	codeUnreachable  = "endpoint-unreachable" // no connection to any endpoint
 	codeNoAnswer     = "no-answer"            // the endpoint broke off or was silent
 	codeKeyReused    = "key-reused"           // the key was used with another request
+	codeNotRun       = "not-run"              // the earlier request with the key was not run, nor was this one
 	codeInProgress   = "in-progress"          // an earlier request with the key is in flight
 	codeHolderGone   = "outcome-unknown"      // the entry that sent the request is gone
 	codeKeyExpired   = "key-expired"          // the key is older than keys are kept
--- a/internal/entry/non_idempotent.go
+++ b/internal/entry/non_idempotent.go
@@ -137,13 +137,18 @@
 	}
 }
 
-// abandon aborts the claim and says that the request was not run, or that it
-// is unknown if the abort is not certain.
+// abandon aborts the claim and says that the request was not run. If another
+// attempt holds the key, its outcome is the answer; if the abort is not certain,
+// the outcome is unknown.
 func (s *Server) abandon(c *call, k *claim, reason *problem) *problem {
-	if s.abort(c, k, reason.code) {
+	switch s.abort(c, k, reason.code) {
+	case fateFree:
 		return reason
+	case fateHeld:
+		return s.awaitOutcome(c, k)
+	default:
+		return unknown(http.StatusServiceUnavailable, reason.code, "%s; this could not be recorded", reason.message)
 	}
-	return unknown(http.StatusServiceUnavailable, reason.code, "%s; this could not be recorded", reason.message)
 }
 
 // sendOnce sends the request to one endpoint. While no connection can be made
@@ -239,17 +244,18 @@
 	return answer
 }
 
-// answerRefusedTake answers from what the claim table knows of the key.
+// answerRefusedTake answers from what the claim table knows of the key. A copy
+// of the take may still be on its way, so "not run" needs an abort here too.
 func (s *Server) answerRefusedTake(c *call, k *claim, result *apiv1.ClaimResult) *problem {
 	switch result.GetRefusal() {
 	case claims.RefusalOtherBody:
-		return keyReused()
+		return s.abandon(c, k, keyReused())
 	case claims.RefusalSettled, claims.RefusalTaken:
 		return s.awaitOutcome(c, k)
 	case claims.RefusalFull, claims.RefusalAbortLimit:
-		return notRun(http.StatusServiceUnavailable, codeClaimsFull, "the claim was refused: %s", result.GetRefusal())
+		return s.abandon(c, k, notRun(http.StatusServiceUnavailable, codeClaimsFull, "the claim was refused: %s", result.GetRefusal()))
 	case claims.RefusalKeyFuture:
-		return notRun(http.StatusBadRequest, codeBadRequest, "the %s names a time in the future", headerKey)
+		return s.abandon(c, k, notRun(http.StatusBadRequest, codeBadRequest, "the %s names a time in the future", headerKey))
 	case claims.RefusalKeyExpired:
 		return unknown(http.StatusConflict, codeKeyExpired, "the %s is older than keys are kept", headerKey)
 	default:
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -203,6 +203,33 @@
 	}
 }
 
+// A resend whose claim's answers are lost aborts its own claim. That must not
+// make it say "not run" of an order that the first attempt has sent.
+func TestAbortOfAResendWhileTheOrderRuns(t *testing.T) {
+	is := is.New(t)
+	c := newControl(t, dispatch())
+	received := newRecord()
+	release := make(chan struct{})
+	serveEndpoint(t, c, "e1", recording(received, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		ok(w, r)
+	}))
+	entries := startEntries(t, c, 2)
+	first := make(chan answer, 1)
+	go func() {
+		got, _ := trySend(entries[0], "POST", "/orders", "x", "Idempotency-Key", "k")
+		first <- got
+	}()
+	eventually(t, "the endpoint has the order", func() bool { return received.total() == 1 })
+	c.loseAnswers(1000)
+	resend := send(t, entries[1], "POST", "/orders", "x", "Idempotency-Key", "k", "Pistachio-Deadline-Ms", "400")
+	is.Equal(resend.outcome, "unknown")
+	is.Equal(resend.code, "in-progress")
+	close(release)
+	is.Equal((<-first).outcome, "done")
+	is.Equal(received.total(), 1)
+}
+
 // The outcome of an order is recorded although control is away when it is
 // known.
 func TestOutcomeIsRecordedAfterAnOutage(t *testing.T) {
--- a/internal/entry/resend.go
+++ b/internal/entry/resend.go
@@ -17,13 +17,17 @@
 	maxVerifying       = 64          // such lookups at once
 )
 
-// awaitOutcome answers a resend: with the kept answer once the first request is
+// awaitOutcome answers a resend whose take was refused: with the kept answer once the first request is
 // settled, or that it is unknown or in progress.
 func (s *Server) awaitOutcome(c *call, k *claim) *problem {
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	for pause := firstLookupPause; ; pause = min(2*pause, longestLookupPause) {
 		found, err := s.claims.Lookup(ctx, &apiv1.LookupRequest{Key: k.key})
+		if err == nil && found.GetFound() && isFree(found.GetState()) {
+			return s.abandon(c, k, notRun(http.StatusServiceUnavailable, codeNotRun,
+				"the earlier request with this key was not run").withRetry(time.Second))
+		}
 		if err == nil {
 			if answered, refusal := s.answerFound(c, k, found); answered || refusal != nil {
 				return refusal
@@ -42,7 +46,9 @@
 		withRetry(time.Second)
 }
 
-// answerKnownKey answers the request if its key is known and not free.
+// answerKnownKey answers the request if its key is settled, and waits while an
+// earlier request with it is in flight. It neither answers nor refuses if the
+// key is free: the request can run.
 func (s *Server) answerKnownKey(c *call, k *claim) (answered bool, refusal *problem) {
 	ctx, cancel := context.WithTimeout(c.r.Context(), min(c.left(), verifyTimeout))
 	defer cancel()
@@ -68,9 +74,6 @@
 	switch {
 	case !found.GetFound():
 		return false, unknown(http.StatusConflict, codeKeyExpired, "the %s is no longer kept", headerKey)
-	case isFree(state):
-		return false, notRun(http.StatusServiceUnavailable, codeInProgress, "the earlier request with this key was not run").
-			withRetry(time.Second)
 	case !bytes.Equal(state.GetRequestDigest(), k.digest):
 		return false, keyReused()
 	case state.GetSettled() && state.GetOutcome() == apiv1.Outcome_OUTCOME_DONE:
--- a/internal/state/claims/changes.go
+++ b/internal/state/claims/changes.go
@@ -150,7 +150,7 @@
 
 // abortUnknown notes the abort of a take that was not applied and may yet be.
 func (t *Table) abortUnknown(s *shard, key string, abort *apiv1.ClaimAbort) *apiv1.ClaimResult {
-	if len(t.expiries) >= t.options.MaxClaims {
+	if len(t.expiries) >= t.options.MaxClaims+t.options.MaxClaims/abortReserve {
 		return refuse(RefusalFull, nil)
 	}
 	r := &record{
--- a/internal/state/claims/record.go
+++ b/internal/state/claims/record.go
@@ -11,6 +11,10 @@
 // maxAborted bounds the aborted attempts remembered for one key.
 const maxAborted = 32
 
+// abortReserve is the part of the table's maximum, as a divisor, that aborts of
+// unknown keys may use beyond it.
+const abortReserve = 8
+
 // record is what the table knows of one key. A record without a holder was
 // left by an abort.
 type record struct {
