--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -91,7 +91,9 @@
 	return s.serveIdempotent(c)
 }
 
-// boundReading cuts off callers that send their body too slowly.
+// boundReading cuts off callers that send their body too slowly. The connection
+// stays half duplex: in full duplex, net/http can't tell whether the rest of a
+// body or the next request follows an early answer.
 func (s *Server) boundReading(c *call) {
 	if !noBody(c.r) {
 		_ = http.NewResponseController(c.w).SetReadDeadline(c.deadline.Add(time.Second))
