Drain test through a balancer that assigns connections

Change: callers pause, keep their connections and are assigned an entry when they connect; no request may arrive at an entry once its Drain has returned.

--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,56 +17,65 @@
 	"github.com/pistachioport/pistachioport/internal/entry"
 )
 
-// Two entries behind a balancer that reads /healthz. One drains and stops
-// under steady load of kept-alive callers; no request may fail.
+// Two entries behind a balancer that reads /healthz and assigns connections.
+// One drains and stops under steady load of kept-alive callers: no request may
+// fail, and none may arrive once Drain has returned.
 func TestDrainUnderLoad(t *testing.T) {
 	is := is.New(t)
 	c := newControl(t, dispatch())
 	serveEndpoint(t, c, "e1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(5 * time.Millisecond) // service time
 		if strings.Contains(r.URL.Path, "long") {
 			_, _ = w.Write(make([]byte, 100_000))
 			_ = http.NewResponseController(w).Flush()
-			time.Sleep(100 * time.Millisecond) // service time
+			time.Sleep(20 * time.Millisecond) // service time
 		}
 		ok(w, r)
 	}))
-	delay := func(config *entry.Config) { config.BalancerDelay = 200 * time.Millisecond }
+	delay := func(config *entry.Config) { config.BalancerDelay = 3 * probeInterval }
 	leaving, staying := startServed(t, c, delay), startServed(t, c, delay)
 	pick := balancer(t, leaving, staying)
 	stop := make(chan struct{})
-	var sent atomic.Int64
 	var group errgroup.Group
-	for i := range 16 {
-		group.Go(func() error { return steady(pick, i, stop, &sent) })
+	for i := range 8 {
+		group.Go(func() error { return steady(pick, i, stop) })
 	}
-	eventually(t, "load runs", func() bool { return sent.Load() > 100 })
+	eventually(t, "load runs", func() bool { return leaving.arrived.Load() > 40 && staying.arrived.Load() > 40 })
 	is.NoErr(leaving.Drain(context.Background()))
+	arrived, at := leaving.arrived.Load(), staying.arrived.Load()
+	eventually(t, "load goes on", func() bool { return staying.arrived.Load() > at+200 })
+	is.Equal(leaving.arrived.Load(), arrived)
 	is.NoErr(leaving.server.Shutdown(context.Background()))
-	at := sent.Load()
-	eventually(t, "load goes on", func() bool { return sent.Load() > at+100 })
 	close(stop)
 	is.NoErr(group.Wait())
 }
 
+const probeInterval = 100 * time.Millisecond
+
 // served is an entry whose HTTP server the test shuts down.
 type served struct {
 	*entry.Server
 	server  *http.Server
 	address string
+	arrived atomic.Int64 // requests other than the balancer's
 }
 
 func startServed(t *testing.T, c *control, change func(*entry.Config)) *served {
 	t.Helper()
 	e := startEntry(t, c, change)
-	listener := httptest.NewUnstartedServer(e.CallerHandler())
-	listener.Start()
+	one := &served{Server: e.Server}
+	callers := e.CallerHandler()
+	listener := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/healthz" {
+			one.arrived.Add(1)
+		}
+		callers.ServeHTTP(w, r)
+	}))
 	t.Cleanup(listener.Close)
-	return &served{Server: e.Server, server: listener.Config, address: listener.Listener.Addr().String()}
+	one.server, one.address = listener.Config, listener.Listener.Addr().String()
+	return one
 }
 
-// balancer returns a function that gives the address of a healthy entry. It
-// learns of a failing /healthz within 50 ms.
+// balancer returns a function that gives the address of a healthy entry.
 func balancer(t *testing.T, entries ...*served) func(int) string {
 	t.Helper()
 	healthy := make([]atomic.Bool, len(entries))
@@ -80,7 +90,7 @@
 				if err == nil {
 					_ = response.Body.Close()
 				}
-				time.Sleep(20 * time.Millisecond) // probe interval
+				time.Sleep(probeInterval)
 			}
 		}()
 	}
@@ -94,22 +104,24 @@
 	}
 }
 
-// steady sends requests over kept-alive connections, as fast as answered.
-func steady(pick func(int) string, worker int, stop chan struct{}, sent *atomic.Int64) error {
-	transport := &http.Transport{}
+// steady sends requests over kept-alive connections, with short pauses.
+func steady(pick func(int) string, worker int, stop chan struct{}) error {
+	transport := &http.Transport{DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, network, pick(worker))
+	}}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport}
 	for n := worker; ; n++ {
 		select {
 		case <-stop:
 			return nil
-		default:
+		case <-time.After(10 * time.Millisecond):
 		}
 		path, want := "/orders", 2
 		if n%10 == 0 {
 			path, want = "/orders/long", 100_002
 		}
-		response, err := client.Post("http://"+pick(n)+path, "text/plain", strings.NewReader("x"))
+		response, err := client.Post("http://balancer"+path, "text/plain", strings.NewReader("x"))
 		if err != nil {
 			return err
 		}
@@ -121,7 +133,6 @@
 		if response.Header.Get("Pistachio-Outcome") != "done" || len(body) != want {
 			return &failedRequest{response.StatusCode, string(body)}
 		}
-		sent.Add(1)
 	}
 }
 
