--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -113,5 +113,6 @@
 		j.enqueue(m.GetIndex(), k)
 	}
 	c.growth = growth
+	c.large.amounts = c.large.amounts[:0] // noted while the gang's tasks held room
 	c.settleReady(j)
 }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -114,7 +114,15 @@
 	return len(j.waiting) == int(j.spec.GetCount())
 }
 
-// startable returns how many due tasks a decision may place now.
+// next returns how many tasks the job's next placement has.
+func (j *job) next() int {
+	if j.gang() {
+		return len(j.waiting)
+	}
+	return min(1, len(j.waiting))
+}
+
+// startable reports whether a decision may place tasks of the job now.
 func (j *job) startable() bool {
 	if j.spec == nil || j.never != "" || len(j.waiting) == 0 {
 		return false
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -34,7 +34,7 @@
 			c.stopVictim(r, d)
 		}
 	}
-	c.keep(&reservation{job: j.name, due: c.now, last: c.now + preemptedMs, class: j.class(), slots: slots})
+	c.keep(&reservation{job: j.name, due: c.now, last: c.now + preemptedMs, made: c.now, class: j.class(), slots: slots})
 	return true
 }
 
--- a/internal/scheduler/reservation.go
+++ b/internal/scheduler/reservation.go
@@ -13,6 +13,9 @@
 	// preemptedMs is how long preempted attempts may take to end before the
 	// room that they make is no longer kept.
 	preemptedMs = 30 * 1000
+	// refreshMs is how old a reservation may become before its time and its
+	// workers are chosen anew: attempts end sooner or later than expected.
+	refreshMs = 10 * 1000
 )
 
 // reservation keeps room on workers for a job that does not fit yet.
@@ -20,6 +23,7 @@
 	job   string
 	due   int64 // Unix milliseconds: when the room is expected to be free
 	last  int64 // Unix milliseconds: until when it is kept
+	made  int64 // Unix milliseconds
 	class apiv1.Class
 	slots map[string]resources.Amount // by worker
 }
@@ -130,16 +134,20 @@
 	}
 }
 
-// tendReservations drops what is no longer needed or possible. Where attempts
-// that were let in until a reservation's time have overrun it, they stop.
+// tendReservations places the jobs whose room has become free, and drops the
+// reservations that are no longer needed or possible. Where attempts that were
+// let in until a reservation's time have overrun it, they stop.
 func (c *Cell) tendReservations(d *Decision) {
 	for _, name := range sortedKeys(c.reservations) {
 		kept := c.reservations[name]
-		_, waits := c.ready[name]
+		c.placeReserved(kept, d)
+		j, waits := c.ready[name]
 		switch {
-		case !waits, !c.slotsStand(kept):
+		case c.reservations[name] != kept: // used up
+		case !waits, c.borrows(j), !c.slotsStand(kept):
 			c.release(name)
 		case c.now < kept.due:
+			c.refresh(j, kept)
 		case c.stopOverrun(kept, d):
 			kept.last = c.now + preemptedMs
 		case c.now >= kept.last:
@@ -148,6 +156,26 @@
 	}
 }
 
+// refresh makes the reservation anew if it is old. It ends if the job is no
+// longer expected to fit at any time.
+func (c *Cell) refresh(j *job, kept *reservation) {
+	if c.now-kept.made >= refreshMs {
+		c.release(j.name)
+		c.reserve(j, j.next())
+	}
+}
+
+// placeReserved places tasks of the reservation's job before any other job is
+// served.
+func (c *Cell) placeReserved(kept *reservation, d *Decision) {
+	for c.now >= kept.due && c.reservations[kept.job] == kept {
+		j, waits := c.ready[kept.job]
+		if !waits || c.borrows(j) || !c.placeNow(j, false, d) {
+			return
+		}
+	}
+}
+
 func (c *Cell) slotsStand(kept *reservation) bool {
 	for name := range kept.slots {
 		if w, ok := c.workers[name]; !ok || !w.usable() {
--- a/internal/scheduler/rolling.go
+++ b/internal/scheduler/rolling.go
@@ -25,7 +25,7 @@
 	left := false
 	for at := range int32(count) {
 		k, ok := j.tasks[at]
-		if !ok || k.live == nil || !k.live.outdated || k.live.stopping {
+		if !ok || k.live == nil || !k.live.outdated || k.live.stopping || k.live.once {
 			continue
 		}
 		left = true
--- a/internal/scheduler/round.go
+++ b/internal/scheduler/round.go
@@ -51,11 +51,7 @@
 // place places one task of the job, or a whole gang. If none fits, the job is
 // set aside until room is gained.
 func (c *Cell) place(j *job, d *Decision) bool {
-	n := 1
-	if j.gang() {
-		n = len(j.waiting)
-	}
-	borrowed := !c.team(j.spec.GetTeam()).admits(j.amount.Times(int64(n)))
+	borrowed := c.borrows(j)
 	if borrowed && !j.mayBorrow() {
 		c.block(j, 0)
 		return false
@@ -64,10 +60,15 @@
 		j.blocked, j.retryAt = 0, 0
 		return true
 	}
-	c.wait(j, n, borrowed, d)
+	c.wait(j, borrowed, d)
 	return false
 }
 
+// borrows reports whether the job's next placement exceeds its team's quota.
+func (c *Cell) borrows(j *job) bool {
+	return !c.team(j.spec.GetTeam()).admits(j.amount.Times(int64(j.next())))
+}
+
 func (c *Cell) placeNow(j *job, borrowed bool, d *Decision) bool {
 	if j.gang() {
 		return c.placeGang(j, borrowed, d)
@@ -82,9 +83,9 @@
 }
 
 // wait makes room for a job that does not fit, by preemption or by keeping
-// room as it becomes free.
-func (c *Cell) wait(j *job, n int, borrowed bool, d *Decision) {
-	if !borrowed && c.preempt(j, n, d) {
+// room as it becomes free. A job that would borrow gets neither.
+func (c *Cell) wait(j *job, borrowed bool, d *Decision) {
+	if borrowed || c.preempt(j, j.next(), d) {
 		c.block(j, 0)
 		return
 	}
@@ -93,7 +94,7 @@
 		c.block(j, due)
 		return
 	}
-	c.reserve(j, n)
+	c.reserve(j, j.next())
 	c.block(j, 0)
 }
 
@@ -118,7 +119,7 @@
 	}
 	for _, kept := range c.reservations {
 		if c.now < kept.due {
-			sooner(kept.due)
+			sooner(min(kept.due, kept.made+refreshMs))
 		} else {
 			sooner(kept.last)
 		}
--- a/internal/scheduler/shadow.go
+++ b/internal/scheduler/shadow.go
@@ -7,18 +7,24 @@
 )
 
 // reserve keeps room for n tasks of a job at the earliest time at which they
-// are expected to fit. It returns false if that time can't be foretold.
-func (c *Cell) reserve(j *job, n int) bool {
+// are expected to fit, if that time can be foretold.
+func (c *Cell) reserve(j *job, n int) {
 	if _, kept := c.reservations[j.name]; kept || len(c.reservations) >= maxReservations {
-		return kept
+		return
 	}
 	due, ok := c.shadowTime(j, n)
 	if !ok {
-		return false
+		return
 	}
 	slots := c.slotsAt(j, n, due)
-	c.keep(&reservation{job: j.name, due: due, last: due + preemptedMs, class: j.class(), slots: slots})
-	return true
+	c.keep(&reservation{
+		job:   j.name,
+		due:   due,
+		last:  due + preemptedMs,
+		made:  c.now,
+		class: j.class(),
+		slots: slots,
+	})
 }
 
 // shadowTime returns when n tasks of the job are expected to fit.
--- a/internal/scheduler/waits.go
+++ b/internal/scheduler/waits.go
@@ -57,15 +57,10 @@
 }
 
 func (c *Cell) waitsForQuota(j *job) []*apiv1.WaitReason {
-	n := 1
-	if j.gang() {
-		n = len(j.waiting)
-	}
-	account := c.team(j.spec.GetTeam())
-	if account.admits(j.amount.Times(int64(n))) {
+	if !c.borrows(j) {
 		return nil
 	}
-	detail := fmt.Sprintf("team %q uses its quota", account.name)
+	detail := fmt.Sprintf("team %q uses its quota", j.spec.GetTeam())
 	if j.mayBorrow() {
 		detail += "; the job may borrow what no other team claims"
 	}
--- a/internal/state/tasks/attempt.go
+++ b/internal/state/tasks/attempt.go
@@ -18,9 +18,9 @@
 	command    string
 	team       string
 	borrowed   bool
-	once       bool // non-idempotent when it was placed
 	placedAt   int64
 
+	once           bool // non-idempotent
 	state          apiv1.TaskState
 	startedAt      int64
 	checkpointStop bool
--- a/internal/state/tasks/configure.go
+++ b/internal/state/tasks/configure.go
@@ -61,7 +61,11 @@
 	if revived {
 		t.reviveTasks(j)
 	}
-	t.restartChangedGang(j, before)
+	t.markLive(j)
+	t.restartChanged(j, before)
+	if j.gang() {
+		t.settleGang(j)
+	}
 	t.settleGeneration(j)
 	for _, k := range j.tasks {
 		t.dirtyTask(j, k)
@@ -108,7 +112,7 @@
 func (t *Table) trim(j *job) {
 	for last := len(j.tasks) - 1; last >= j.count(); last-- {
 		k := j.tasks[last]
-		if k.live != nil || j.spec.GetNonIdempotent() && k.started {
+		if k.live != nil || k.started {
 			return
 		}
 		t.dirtyTask(j, k)
@@ -134,7 +138,7 @@
 	if !j.removed || j.live > 0 {
 		return
 	}
-	if j.mayHaveStarted() && t.now-j.removedAt < keepRemovedMs {
+	if j.mayHaveStarted(len(j.tasks)) && t.now-j.removedAt < keepRemovedMs {
 		return
 	}
 	name := j.spec.GetName()
@@ -146,29 +150,48 @@
 	t.changes.job(name)
 }
 
-// mayHaveStarted reports whether a non-idempotent task of the job may have
-// started.
-func (j *job) mayHaveStarted() bool {
-	return j.spec.GetNonIdempotent() && slices.ContainsFunc(j.tasks, func(k *task) bool { return k.started })
+// mayHaveStarted reports whether a non-idempotent one of the job's first n tasks
+// may have started.
+func (j *job) mayHaveStarted(n int) bool {
+	return slices.ContainsFunc(j.tasks[:min(n, len(j.tasks))], func(k *task) bool { return k.started })
 }
 
-// reviveTasks lets the tasks of an idempotent job that is configured again run
-// again, as those of a new job would.
+// reviveTasks lets the tasks of a job that is configured again run again, as
+// those of a new job would, unless they are non-idempotent and may have started.
 func (t *Table) reviveTasks(j *job) {
-	if j.spec.GetNonIdempotent() {
+	for _, k := range j.tasks {
+		if k.terminal() && !k.started {
+			t.setWaiting(j, k, "")
+		}
+	}
+}
+
+// markLive makes live attempts non-idempotent that were not when placed.
+func (t *Table) markLive(j *job) {
+	if !j.spec.GetNonIdempotent() {
 		return
 	}
 	for _, k := range j.tasks {
-		if k.terminal() {
-			t.setWaiting(j, k, "")
+		if k.live != nil {
+			t.worker(k.live.worker)
+			k.live.once = true
+			k.started = true
 		}
 	}
 }
 
-// restartChangedGang stops a running gang whose tasks are no longer what they
-// were placed as; it starts again as one. A non-idempotent gang runs on.
-func (t *Table) restartChangedGang(j *job, before *apiv1.Job) {
-	if !j.gang() || j.live == 0 || j.spec.GetNonIdempotent() {
+// restartChanged stops the attempts of a job that became one of another kind,
+// and those of a running gang whose tasks are no longer what they were placed
+// as: it starts again as one. A non-idempotent gang runs on, unless it shrinks.
+func (t *Table) restartChanged(j *job, before *apiv1.Job) {
+	if j.live == 0 {
+		return
+	}
+	if before.GetKind() != j.spec.GetKind() {
+		t.stopJob(j, j.spec.GetCheckpoint())
+		return
+	}
+	if !j.gang() || j.spec.GetNonIdempotent() {
 		return
 	}
 	same := before.GetCount() == j.spec.GetCount() &&
--- a/internal/state/tasks/end.go
+++ b/internal/state/tasks/end.go
@@ -52,7 +52,7 @@
 
 func (t *Table) succeeded(j *job, k *task, w *worker, a *attempt) {
 	t.startedWell(j, w, a)
-	if !j.service() || !j.wanted(k) {
+	if !j.service() || a.once || !j.wanted(k) {
 		t.setState(j, k, apiv1.TaskState_TASK_STATE_DONE, "")
 		return
 	}
@@ -162,5 +162,6 @@
 		t.settleGang(j)
 	}
 	t.settleGeneration(j)
+	t.trim(j)
 	t.dropRemoved(j)
 }
--- a/internal/state/tasks/gang.go
+++ b/internal/state/tasks/gang.go
@@ -9,8 +9,17 @@
 // settleGang keeps a gang whole or absent: once a task of it is neither done
 // nor live, all others stop, and once none is live, all start again as one.
 func (t *Table) settleGang(j *job) {
+	if j.live == 0 {
+		j.placed = 0
+	}
 	broken := j.removed
 	for _, k := range j.tasks {
+		if j.live > 0 && int(k.index) >= j.placed {
+			continue // added to a non-idempotent gang that runs
+		}
+		if k.live == nil && !j.wanted(k) {
+			continue
+		}
 		whole := k.live != nil && !k.live.stopping() || k.state == apiv1.TaskState_TASK_STATE_DONE
 		broken = broken || !whole
 	}
@@ -21,7 +30,7 @@
 		t.stopJob(j, j.spec.GetCheckpoint())
 		return
 	}
-	if !j.spec.GetNonIdempotent() {
+	if !j.mayHaveStarted(j.count()) {
 		t.restartGang(j)
 	}
 }
@@ -35,7 +44,8 @@
 }
 
 // restartGang makes all tasks of a gang without live attempts wait together,
-// or gives all up if one has failed too often.
+// or gives all up if one has failed too often. No task of it is non-idempotent and
+// may have started.
 func (t *Table) restartGang(j *job) {
 	var notBefore int64
 	var failed *task
--- a/internal/state/tasks/health.go
+++ b/internal/state/tasks/health.go
@@ -93,7 +93,7 @@
 	}
 	k.failures--
 	t.dirtyTask(j, k)
-	if k.state == apiv1.TaskState_TASK_STATE_FAILED && !j.spec.GetNonIdempotent() {
+	if k.state == apiv1.TaskState_TASK_STATE_FAILED && !k.started {
 		t.restartGivenUp(j, k)
 	}
 }
@@ -107,7 +107,7 @@
 		return
 	}
 	for _, other := range j.tasks {
-		if other.state == apiv1.TaskState_TASK_STATE_FAILED {
+		if other.state == apiv1.TaskState_TASK_STATE_FAILED && !other.started {
 			t.setWaiting(j, other, detail)
 		}
 	}
--- a/internal/state/tasks/job.go
+++ b/internal/state/tasks/job.go
@@ -14,6 +14,7 @@
 	generation string // the one that the tasks' states belong to
 	removed    bool
 	removedAt  int64
+	placed     int      // tasks of a gang that were placed together; 0: none is live
 	live       int      // attempts that hold capacity
 	tasks      []*task  // at least spec.Count; those beyond are cancelled
 	failedOn   []string // workers on which its starts failed of late
--- a/internal/state/tasks/plan.go
+++ b/internal/state/tasks/plan.go
@@ -82,7 +82,7 @@
 	if k.live != nil || k.state != apiv1.TaskState_TASK_STATE_WAITING || sums.tasks[m.GetJob()][index] {
 		return refused(RefusedLiveAttempt, "task %d of job %q is %s", index, m.GetJob(), k.state)
 	}
-	if j.spec.GetNonIdempotent() && k.started {
+	if k.started {
 		return refused(RefusedLiveAttempt, "task %d of job %q is non-idempotent and may have started", index, m.GetJob())
 	}
 	if due := max(j.spec.GetReleaseUnixMs(), k.notBefore); due > t.now {
@@ -191,7 +191,10 @@
 	t.team(a.team).take(a)
 	k.live = a
 	k.attempts++
-	k.started = true
+	k.started = a.once
 	j.live++
+	if j.gang() {
+		j.placed = j.count()
+	}
 	t.setState(j, k, a.state, "")
 }
--- a/internal/state/tasks/report.go
+++ b/internal/state/tasks/report.go
@@ -78,6 +78,9 @@
 	case apiv1.AttemptReport_PHASE_FAILED:
 		t.setState(j, k, apiv1.TaskState_TASK_STATE_FAILED, m.GetDetail())
 	case apiv1.AttemptReport_PHASE_NEVER_STARTED:
+		if a.startedAt > 0 {
+			break // it was reported as running before
+		}
 		k.started = false
 		t.setWaiting(j, k, "its worker never started it")
 	}
--- a/internal/state/tasks/snapshot.go
+++ b/internal/state/tasks/snapshot.go
@@ -35,6 +35,7 @@
 		Removed:       j.removed,
 		RemovedUnixMs: j.removedAt,
 		FailedOn:      j.failedOn,
+		Placed:        int32(j.placed),
 	}
 	for _, k := range j.tasks {
 		r.Tasks = append(r.Tasks, k.record())
@@ -196,6 +197,7 @@
 		removed:    r.GetRemoved(),
 		removedAt:  r.GetRemovedUnixMs(),
 		failedOn:   r.GetFailedOn(),
+		placed:     int(r.GetPlaced()),
 	}
 	name := j.spec.GetName()
 	t.jobs.write(name).values[name] = j
--- a/internal/state/tasks/task.go
+++ b/internal/state/tasks/task.go
@@ -12,7 +12,7 @@
 	attempts  uint64   // so far
 	live      *attempt // holds its worker's capacity; nil otherwise
 	lost      *attempt // ended with its worker, fate unknown; nil otherwise
-	started   bool     // an attempt of this generation may have started
+	started   bool     // a non-idempotent attempt of this generation may have started
 }
 
 // terminal reports whether the task is not started again by itself.
