--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -23,8 +23,9 @@
 	domains map[string]int
 	since   int64 // Unix milliseconds since when the job has due tasks
 
-	blocked uint64 // the cell's growth when no worker could take a task; 0: none
-	retryAt int64  // Unix milliseconds at which to try again all the same; 0: none
+	blocked   uint64 // the cell's growth when no worker could take a task; 0: none
+	reserveAt int64  // Unix milliseconds from which room may be sought for it
+	retryAt   int64  // Unix milliseconds at which to try again all the same; 0: none
 }
 
 // task is a task as last seen.
@@ -114,7 +115,15 @@
 	return len(j.waiting) == int(j.spec.GetCount())
 }
 
-// startable returns how many due tasks a decision may place now.
+// next returns how many tasks the job's next placement has.
+func (j *job) next() int {
+	if j.gang() {
+		return len(j.waiting)
+	}
+	return min(1, len(j.waiting))
+}
+
+// startable reports whether a decision may place tasks of the job now.
 func (j *job) startable() bool {
 	if j.spec == nil || j.never != "" || len(j.waiting) == 0 {
 		return false
