Settings: spare_after beside replace_after

Cause: the repair of the membership has two waits, for a VM that came back with an empty folder and for one that is gone; the settings had one. Change: control.spare_after, by default 2m or replace_after if that is longer. Failing first: a spare_after below replace_after gave no finding (broken/04-no-data-folder). State: go test ./internal/settings passes. Neither key reaches the repair yet; that is the daemon's wiring.

--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"net/netip"
 	"strings"
 
@@ -22,10 +23,16 @@
 		SnapshotEntries: int(table.Int("snapshot_entries", defaultSnapshotEntries, minSnapshotEntries, maxSnapshotEntries)),
 		ReplaceAfter:    table.Duration("replace_after", defaultReplaceAfter, minReplaceAfter, maxReplaceAfter),
 	}
+	control.SpareAfter = table.Duration("spare_after",
+		max(defaultSpareAfter, control.ReplaceAfter), minReplaceAfter, maxReplaceAfter)
 	for _, member := range table.Tables("members") {
 		control.Members = append(control.Members, readMember(member))
 	}
 	checkMembers(table, control)
+	if control.SpareAfter < control.ReplaceAfter {
+		table.Report("spare_after", fmt.Sprintf("at least replace_after, %v", control.ReplaceAfter),
+			"control.spare_after = %v is below replace_after, so a spare would go before the VM's own return", control.SpareAfter)
+	}
 	table.Finish()
 	return control
 }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -13,6 +13,7 @@
 // Defaults and bounds.
 const (
 	defaultReplaceAfter    = 30 * time.Second
+	defaultSpareAfter      = 2 * time.Minute
 	defaultSnapshotEntries = 20_000 // log entries
 	minSnapshotEntries     = 100
 	maxSnapshotEntries     = 1_000_000
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,10 +23,15 @@
 
 // Control holds the control role's settings.
 type Control struct {
-	Listen       string   // IP address and port
-	Advertise    string   // where the other processes reach this one
-	Members      []Member // every configured control process, this one included
+	Listen    string   // IP address and port
+	Advertise string   // where the other processes reach this one
+	Members   []Member // every configured control process, this one included
+	// ReplaceAfter is how long a voter must be silent before its VM, back with
+	// an empty folder, takes its place.
 	ReplaceAfter time.Duration
+	// SpareAfter is how long a voter must be silent, with nothing answering for
+	// it, before a spare takes its place.
+	SpareAfter time.Duration
 	// SnapshotEntries is the number of applied log entries after which a
 	// snapshot is taken and the log before it is dropped.
 	SnapshotEntries int
