pistachioctl: errors in operators' words

Cause: in a trial with two of three voters killed, status said "twirp error internal: failed to do request: gave up after 66 attempts: … does not lead". Failing first: TestErrorsAreInOperatorsWords on the text above. State: go test -race ./internal/command/... passes.

--- a/internal/command/cluster.go
+++ b/internal/command/cluster.go
@@ -1,6 +1,8 @@
 package command
 
 import (
+	"strconv"
+
 	"github.com/spf13/cobra"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
@@ -63,7 +65,16 @@
 	t := &table{header: []string{"MEMBER", "ADDRESS", "FAILURE DOMAIN", "ROLE", "LEADER", "REACHABLE", "MATCH", "INCARNATION"}}
 	for _, m := range members {
 		t.add(m.GetName(), m.GetAddress(), m.GetFailureDomain(), m.GetRole(), m.GetLeader(), m.GetReachable(),
-			m.GetMatchIndex(), incarnationText(m.GetIncarnation()))
+			matchText(m.GetMatchIndex()), incarnationText(m.GetIncarnation()))
 	}
 	return t
 }
+
+// matchText returns how far a member's log is known to go. Only the leader
+// knows it, and of the other members alone.
+func matchText(index uint64) string {
+	if index == 0 {
+		return ""
+	}
+	return strconv.FormatUint(index, 10)
+}
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -182,3 +182,21 @@
 		t.Fatal("status did not end")
 	}
 }
+
+func TestErrorsAreInOperatorsWords(t *testing.T) {
+	_, address := start(t)
+	for name, c := range map[string]struct {
+		arguments []string
+		want      string
+	}{
+		"refusal":     {[]string{"status", "job", "none", "--control", address}, "pistachioctl: job none does not exist\n"},
+		"unreachable": {[]string{"publish", examples, "--operator", "ana", "--control", "127.0.0.1:1", "--timeout", "100ms"}, "pistachioctl: read the revision in force: no leading control process answered in time: "},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			shown := run(nil, c.arguments...)
+			is.True(strings.HasPrefix(shown.err, c.want))
+			is.True(!strings.Contains(shown.err, "twirp"))
+		})
+	}
+}
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
+	"github.com/twitchtv/twirp"
 
 	"github.com/pistachioport/pistachioport/internal/finding"
 )
@@ -90,5 +92,18 @@
 		_, _ = fmt.Fprintln(out, findings.Error())
 		return
 	}
-	_, _ = fmt.Fprintf(out, "pistachioctl: %v\n", err)
+	_, _ = fmt.Fprintf(out, "pistachioctl: %s\n", errorText(err))
+}
+
+// errorText leaves out how the answer travelled.
+func errorText(err error) string {
+	var answer twirp.Error
+	if !errors.As(err, &answer) {
+		return err.Error()
+	}
+	text := answer.Msg()
+	if isUnreachable(err) {
+		text = "no leading control process answered in time: " + strings.TrimPrefix(text, "failed to do request: ")
+	}
+	return strings.Replace(err.Error(), answer.Error(), text, 1)
 }
