publish: a conflict names the revision that took the base

Cause: the message named the revision in force, which may be a later one than the winner's; the answer has carried the winner's own since.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -83,7 +83,7 @@
 
 	stale := run(user, "publish", examples+"/cell.toml", "--base", "0", "--operator", "bruno")
 	is.Equal(stale.code, command.ExitConflict)
-	is.True(strings.Contains(stale.err, `base revision 0 is not in force: revision 1 by "ana" is`))
+	is.True(strings.Contains(stale.err, `base revision 0 was taken by revision 1 of "ana"; revision 1 is in force`))
 
 	next := run(user, "publish", examples+"/cell.toml", "--operator", "bruno")
 	is.Equal(next.code, command.ExitDone) // the base is read first
--- a/internal/command/publish.go
+++ b/internal/command/publish.go
@@ -112,8 +112,8 @@
 		return errors.Mark(errors.Newf("this content was revision %d; revision %d has replaced it since",
 			result.GetRevision(), result.GetCurrentRevision()), errConflict)
 	case apiv1.PublishResult_STATUS_CONFLICT:
-		return errors.Mark(errors.Newf("base revision %d is not in force: revision %d by %q is",
-			base, result.GetCurrentRevision(), result.GetWinner()), errConflict)
+		return errors.Mark(errors.Newf("base revision %d was taken by revision %d of %q; revision %d is in force",
+			base, result.GetWinnerRevision(), result.GetWinner(), result.GetCurrentRevision()), errConflict)
 	default:
 		return errors.Newf("the cell answered with the unknown status %v", result.GetStatus())
 	}
--- a/internal/command/server_test.go
+++ b/internal/command/server_test.go
@@ -56,7 +56,7 @@
 		result.Revision = c.revision
 	case request.GetBaseRevision() != c.revision:
 		result.Status = apiv1.PublishResult_STATUS_CONFLICT
-		result.Winner = c.operator
+		result.Winner, result.WinnerRevision = c.operator, 1
 	default:
 		c.revision++
 		c.published++
