--- a/internal/daemon/control_role.go
+++ b/internal/daemon/control_role.go
@@ -11,6 +11,7 @@
 	"github.com/pistachioport/pistachioport/internal/balance/shares"
 	"github.com/pistachioport/pistachioport/internal/clock"
 	"github.com/pistachioport/pistachioport/internal/control"
+	"github.com/pistachioport/pistachioport/internal/control/repair"
 	"github.com/pistachioport/pistachioport/internal/placement"
 	"github.com/pistachioport/pistachioport/internal/replica"
 	"github.com/pistachioport/pistachioport/internal/state"
@@ -68,7 +69,11 @@
 		Address:   p.settings.Control.Advertise,
 		Peers:     peers(p),
 		Placement: duty,
-		NewSlots:  func() control.SlotLedger { return shares.NewLedger(shares.Options{Clock: system}) },
+		Repair: repair.Limits{
+			LostAfter: p.settings.Control.ReplaceAfter,
+			GoneAfter: p.settings.Control.SpareAfter,
+		},
+		NewSlots: func() control.SlotLedger { return shares.NewLedger(shares.Options{Clock: system}) },
 	})
 	if err != nil {
 		return nil, err
--- a/test/failure/cluster_test.go
+++ b/test/failure/cluster_test.go
@@ -71,11 +71,7 @@
 		c.writeMemberSettings(m, l)
 		m.start()
 	}
-	var addresses []string
-	for _, m := range c.members {
-		addresses = append(addresses, m.address)
-	}
-	c.client = rpc.NewClient(rpc.Options{Addresses: addresses})
+	c.client = rpc.NewClient(rpc.Options{Addresses: c.addresses()})
 	c.form(l.voters)
 	for _, e := range c.entries {
 		c.writeEntrySettings(e, l)
--- a/test/failure/history_test.go
+++ b/test/failure/history_test.go
@@ -62,12 +62,6 @@
 	})
 }
 
-func (h *history) len() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return len(h.operations)
-}
-
 // check fails the test unless the history is linearizable.
 func (h *history) check(t *testing.T) {
 	t.Helper()
--- a/test/failure/load_test.go
+++ b/test/failure/load_test.go
@@ -82,11 +82,12 @@
 		body, address, r.status, r.outcome, r.err, r.body))
 }
 
-// more waits until that many more requests were answered.
-func (l *load) more(count int64) {
+// goOn waits until some more requests were answered.
+func (l *load) goOn() {
 	l.cluster.t.Helper()
+	const more = 200
 	from := l.sent.Load()
-	l.cluster.await("requests to be answered", func() bool { return l.sent.Load() >= from+count })
+	l.cluster.await("requests to be answered", func() bool { return l.sent.Load() >= from+more })
 }
 
 func (l *load) stop() {
--- a/test/failure/operator_test.go
+++ b/test/failure/operator_test.go
@@ -30,10 +30,7 @@
 func startOperators(t *testing.T, c *cluster, count int) *operators {
 	t.Helper()
 	o := &operators{history: newHistory(), stop: make(chan struct{})}
-	var addresses []string
-	for _, m := range c.members {
-		addresses = append(addresses, m.address)
-	}
+	addresses := c.addresses()
 	for id := range count {
 		client := rpc.NewClient(rpc.Options{Addresses: addresses, AttemptTimeout: time.Second})
 		o.done.Add(1)
--- a/test/failure/request_test.go
+++ b/test/failure/request_test.go
@@ -120,13 +120,13 @@
 	front := startBalancer(c, client)
 	load := startLoad(c, client, front.healthy)
 	for _, e := range c.entries {
-		load.more(200)
+		load.goOn()
 		e.terminate()
-		load.more(200)
+		load.goOn()
 		e.start()
 		c.await(e.name+" to serve again", func() bool { return client.healthy(e.callers) })
 	}
-	load.more(200)
+	load.goOn()
 	load.stop()
 	front.stop()
 	load.expectNoFailure()
@@ -141,7 +141,7 @@
 	defer client.close()
 	c.serveService(client)
 	load := startLoad(c, client, func() []string { return []string{c.entries[0].callers, c.entries[1].callers} })
-	load.more(200)
+	load.goOn()
 	for _, m := range c.members {
 		m.freeze()
 	}
@@ -150,7 +150,7 @@
 	for _, m := range c.members {
 		m.thaw()
 	}
-	load.more(200)
+	load.goOn()
 	load.stop()
 	load.expectNoFailure()
 }
--- a/test/failure/service_test.go
+++ b/test/failure/service_test.go
@@ -50,7 +50,7 @@
 }
 
 // publish replaces the desired state.
-func (c *cluster) publish(configuration *apiv1.Configuration) *apiv1.PublishResult {
+func (c *cluster) publish(configuration *apiv1.Configuration) {
 	c.t.Helper()
 	is := is.New(c.t)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
@@ -64,7 +64,6 @@
 	})
 	is.NoErr(err)
 	is.Equal(response.GetResult().GetStatus(), apiv1.PublishResult_STATUS_APPLIED)
-	return response.GetResult()
 }
 
 // startEndpoint starts an endpoint of the service that announces itself at
@@ -108,7 +107,7 @@
 	return started
 }
 
-// newService starts a cluster whose entries all serve the service.
+// serveService waits until every entry serves the service.
 func (c *cluster) serveService(client *caller) {
 	c.t.Helper()
 	for _, e := range c.entries {
