Failure test: wait for the restarted worker's new boot

Cause: the test published a new generation while the old boot's lease still ran; tasks placed there were lost with it and shown as unknown, which is right for non-idempotent work. Ruled out: a lost order (orders and revisions of each renewal were printed on a scratch copy). After: passes.

--- a/test/failure/worker_test.go
+++ b/test/failure/worker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -245,11 +246,11 @@
 	links.silence(workers[0].name)
 	c.await("the worker to be given up and its tasks to run elsewhere", func() bool {
 		job := c.job()
-		return workerGone(c, workers[0].name) && job.GetRunning() == tasks && run.running() == tasks
+		return !c.worker(workers[0].name).GetAlive() && job.GetRunning() == tasks && run.running() == tasks
 	})
 	run.expectNoneTwice(t, false)
 	links.restore(workers[0].name)
-	c.await("the worker to be back", func() bool { return !workerGone(c, workers[0].name) })
+	c.await("the worker to be back", func() bool { return c.worker(workers[0].name).GetAlive() })
 	c.await("every task to run", func() bool { return run.running() == tasks })
 	run.expectNoneTwice(t, false)
 }
@@ -262,15 +263,18 @@
 	const tasks = 6
 	c.publish(batchConfiguration(apiv1.JobKind_JOB_KIND_BATCH, tasks, true))
 	c.await("every task to run", func() bool { return run.running() == tasks })
-	lost := int32(0)
-	for _, w := range workers {
-		if ran := int32(w.ran.Load()); ran > 0 && lost == 0 {
-			lost = ran
-			w.kill()
-			w.start()
-		}
-	}
+	restarted := workers[slices.IndexFunc(workers, func(w *testWorker) bool { return w.ran.Load() > 0 })]
+	lost := int32(restarted.ran.Load())
+	before := c.worker(restarted.name).GetWorker().GetBoot()
+	restarted.kill()
+	restarted.start()
 	c.await("the lost tasks to be shown as unknown", func() bool { return c.job().GetUnknown() == lost })
+	// Until its lease has run out, the old boot could still be given tasks, and
+	// these would be lost with it.
+	c.await("the new boot to be known", func() bool {
+		status := c.worker(restarted.name)
+		return status.GetAlive() && status.GetWorker().GetBoot() != before
+	})
 	run.expectNoneTwice(t, true)
 	is.Equal(c.job().GetRunning(), tasks-lost)
 
@@ -286,17 +290,18 @@
 	run.expectNoneTwice(t, true)
 }
 
-func workerGone(c *cluster, name string) bool {
+// worker returns what control knows of a worker; nil: nothing.
+func (c *cluster) worker(name string) *apiv1.WorkerStatus {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	response, err := c.client.Control().ListWorkers(ctx, &apiv1.ListWorkersRequest{})
 	if err != nil {
-		return false
+		return nil
 	}
 	for _, status := range response.GetWorkers() {
 		if status.GetWorker().GetName() == name {
-			return !status.GetAlive()
+			return status
 		}
 	}
-	return true
+	return nil
 }
