--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -93,4 +93,3 @@
 	time.Sleep(slowSync)
 	return f.File.Sync()
 }
-
