Refuse what arrived in a term that was lost and won again

Ruled out: the lease itself.

Change: a leadership counts as current only while the log reports its term.

--- a/internal/control/fake_log_test.go
+++ b/internal/control/fake_log_test.go
@@ -23,6 +23,7 @@
 	handed   int           // transfers of leadership
 	commands []*apiv1.Command
 	changes  []string             // membership changes asked for
+	failure  error                // of every proposal, which is not applied
 	applied  func(*apiv1.Command) // when set, called before a proposal is answered
 }
 
@@ -126,11 +127,21 @@
 	if !f.status.IsLeader {
 		return nil, nil, replica.ErrNotLeader
 	}
+	if f.failure != nil {
+		return nil, nil, f.failure
+	}
 	f.index++
 	f.commands = append(f.commands, proto.CloneOf(command))
 	return f.machine.Apply(f.index, command), f.applied, nil
 }
 
+// fail makes proposals fail with the error; nil ends that.
+func (f *fakeLog) fail(failure error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failure = failure
+}
+
 // onApplied calls the function with each command before its proposal returns.
 func (f *fakeLog) onApplied(hook func(*apiv1.Command)) {
 	f.mu.Lock()
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -100,8 +100,14 @@
 }
 
 // current reports whether the leadership still stands, as far as known here.
+// The log is asked as well: it may have lost this term and won another before
+// the server took notice.
 func (l *leadership) current() bool {
-	return l.server.leadership.Load() == l
+	if l.server.leadership.Load() != l {
+		return false
+	}
+	status := l.server.Log.Status()
+	return status.IsLeader && status.Term == l.term
 }
 
 // propose commits a command stamped with this process's wall clock.
