Number unnumbered renewals by arrival; free slots under the sessions' lock

Cause: a renewal whose sender had given up, still waiting here, asked the ledger again with its old holds after a newer one had been granted more, since entries don't number their renewals yet. And a session that came back between its removal and the freeing of its slots lost the account that it had just begun.

Change: a renewal without a number takes the next one of its session, which the ledger gets too; one that was overtaken or that nobody waits for is not answered. Slots are freed while the session can't begin anew. What is left: two renewals that arrive in the wrong order are told apart only if the entry numbers them.

With arrival numbers taken out, the new test fails (it waits for the second number); the fault itself, too many slots granted, was found by reading and not reproduced.

--- a/internal/control/entry_link.go
+++ b/internal/control/entry_link.go
@@ -83,11 +83,14 @@
 	if err := round.wait(ctx); err != nil {
 		return nil, r.server.retryable(ctx, err)
 	}
+	if err := ctx.Err(); err != nil {
+		return nil, err // nobody waits for the answer any more
+	}
 	response, err := r.answer()
 	if err != nil {
 		return nil, err
 	}
-	if r.sessions.overtaken(r.request) {
+	if r.sessions.overtaken(r.session) {
 		return nil, errOvertaken
 	}
 	// Nothing is answered on the account of a leadership that has ended.
@@ -179,19 +182,19 @@
 		return nil
 	}
 	request := r.request
-	r.slots.Locate(request.GetSession(), request.GetLocation())
+	r.slots.Locate(r.session.id, request.GetLocation())
 	endpoints := r.server.Store.Endpoints("")
-	return r.slots.RenewInSequence(request.GetSession(), request.GetSequence(), r.holds, request.GetDemand(), endpoints)
+	return r.slots.RenewInSequence(r.session.id, r.session.sequence, r.holds, request.GetDemand(), endpoints)
 }
 
 // expireEntries drops the sessions whose leases have run out.
 func (l *leadership) expireEntries() {
-	for _, id := range l.sessions.remove(l.entries.Expired) {
+	l.sessions.remove(l.entries.Expired, func(id string) {
 		l.entries.Forget(id)
 		if l.slots != nil {
 			l.slots.Expire(id)
 		}
-	}
+	})
 }
 
 // entryGone reports whether the session's lease has run out for certain.
--- a/internal/control/entry_sessions.go
+++ b/internal/control/entry_sessions.go
@@ -24,7 +24,7 @@
 	draining bool
 	known    uint64 // largest revision that the entry reported
 	pending  int    // renewals received and not yet answered
-	sequence uint64 // largest of the entry's requests
+	sequence uint64 // of the newest renewal
 	answered bool   // in this term
 	granted  []*apiv1.SlotHold
 	tag      uint64 // of granted; 0: none
@@ -61,10 +61,14 @@
 		session = &entrySession{id: request.GetSession()}
 		e.byID[session.id] = session
 	}
-	if request.GetSequence() < session.sequence {
+	sequence := request.GetSequence()
+	if sequence == 0 {
+		sequence = session.sequence + 1 // in the order of arrival
+	}
+	if sequence < session.sequence {
 		return entrySession{}, errOvertaken
 	}
-	session.sequence = request.GetSequence()
+	session.sequence = sequence
 	session.name = request.GetEntry()
 	session.location = request.GetLocation()
 	session.address = request.GetAddress()
@@ -96,12 +100,13 @@
 	}
 }
 
-// overtaken reports whether a newer renewal of the session has arrived.
-func (e *entrySessions) overtaken(request *apiv1.RenewEntryRequest) bool {
+// overtaken reports whether a newer renewal of the session has arrived than
+// the one that the copy was made for.
+func (e *entrySessions) overtaken(earlier entrySession) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	session, ok := e.byID[request.GetSession()]
-	return ok && session.sequence > request.GetSequence()
+	session, ok := e.byID[earlier.id]
+	return ok && session.sequence > earlier.sequence
 }
 
 // nextTag returns a tag that no answer of this term carries yet.
@@ -112,22 +117,22 @@
 	return e.lastTag
 }
 
-// remove drops the sessions that no renewal is pending for and that the
-// function says are gone, and returns their ids.
-func (e *entrySessions) remove(gone func(id string) bool) []string {
+// remove drops the sessions that no renewal is pending for and that gone says
+// are gone. No renewal of such a session begins until drop has been called.
+func (e *entrySessions) remove(gone func(id string) bool, drop func(id string)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var removed []string
+	removed := false
 	for id, session := range e.byID {
 		if session.pending == 0 && gone(id) {
 			delete(e.byID, id)
-			removed = append(removed, id)
+			drop(id)
+			removed = true
 		}
 	}
-	if len(removed) > 0 {
+	if removed {
 		e.wake()
 	}
-	return removed
 }
 
 // behind returns the names of the entries that have not reported the revision,
--- a/internal/control/slots_test.go
+++ b/internal/control/slots_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"context"
 	"sync"
 	"testing"
 
@@ -14,15 +15,19 @@
 
 // fakeLedger grants every endpoint whole to whoever asks.
 type fakeLedger struct {
-	mu      sync.Mutex
-	expired []string
+	mu       sync.Mutex
+	expired  []string
+	sequence uint64
 }
 
 func (f *fakeLedger) Locate(string, *apiv1.Location) {}
 
 func (f *fakeLedger) RenewInSequence(
-	_ string, _ uint64, _ []*apiv1.SlotHold, _ []*apiv1.ServiceDemand, endpoints []*apiv1.Endpoint,
+	_ string, sequence uint64, _ []*apiv1.SlotHold, _ []*apiv1.ServiceDemand, endpoints []*apiv1.Endpoint,
 ) []*apiv1.SlotHold {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sequence = max(f.sequence, sequence)
 	var grants []*apiv1.SlotHold
 	for _, each := range endpoints {
 		grants = append(grants, &apiv1.SlotHold{Endpoint: each.GetId(), Slots: each.GetSlots()})
@@ -36,6 +41,12 @@
 	f.expired = append(f.expired, session)
 }
 
+func (f *fakeLedger) lastSequence() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sequence
+}
+
 func (f *fakeLedger) sessions() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -104,3 +115,31 @@
 	_, err = r.entries().Renew(t.Context(), request)
 	is.True(err != nil)
 }
+
+func TestWaitingRenewalThatANewerOneOvertookIsRefused(t *testing.T) {
+	is := is.New(t)
+	ledger := &fakeLedger{}
+	r := newRig(t, func(config *control.Config) {
+		config.NewSlots = func() control.SlotLedger { return ledger }
+	})
+	r.lead()
+	r.renew("s", 0)
+	release := r.log.hold()
+	renew := func() <-chan error {
+		request := renewal("s", 0)
+		request.WaitMs = 1
+		done := make(chan error, 1)
+		go func() {
+			_, err := r.entries().Renew(context.Background(), request)
+			done <- err
+		}()
+		return done
+	}
+	older := renew()
+	r.eventually("the older renewal waits", func() bool { return ledger.lastSequence() == 2 })
+	newer := renew()
+	r.eventually("the newer renewal waits", func() bool { return ledger.lastSequence() == 3 })
+	release()
+	is.Equal(code(<-older), twirp.Aborted)
+	is.NoErr(<-newer)
+}
