--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -83,7 +83,7 @@
 
 	stale := run(user, "publish", examples+"/cell.toml", "--base", "0", "--operator", "bruno")
 	is.Equal(stale.code, command.ExitConflict)
-	is.True(strings.Contains(stale.err, `base revision 0 is not in force: revision 1 by "ana" is`))
+	is.True(strings.Contains(stale.err, `base revision 0 was taken by revision 1 of "ana"; revision 1 is in force`))
 
 	next := run(user, "publish", examples+"/cell.toml", "--operator", "bruno")
 	is.Equal(next.code, command.ExitDone) // the base is read first
@@ -182,3 +182,21 @@
 		t.Fatal("status did not end")
 	}
 }
+
+func TestErrorsAreInOperatorsWords(t *testing.T) {
+	_, address := start(t)
+	for name, c := range map[string]struct {
+		arguments []string
+		want      string
+	}{
+		"refusal":     {[]string{"status", "job", "none", "--control", address}, "pistachioctl: job none does not exist\n"},
+		"unreachable": {[]string{"publish", examples, "--operator", "ana", "--control", "127.0.0.1:1", "--timeout", "100ms"}, "pistachioctl: read the revision in force: no leading control process answered in time: "},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			shown := run(nil, c.arguments...)
+			is.True(strings.HasPrefix(shown.err, c.want))
+			is.True(!strings.Contains(shown.err, "twirp"))
+		})
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,10 +23,15 @@
 
 // Control holds the control role's settings.
 type Control struct {
-	Listen       string   // IP address and port
-	Advertise    string   // where the other processes reach this one
-	Members      []Member // every configured control process, this one included
+	Listen    string   // IP address and port
+	Advertise string   // where the other processes reach this one
+	Members   []Member // every configured control process, this one included
+	// ReplaceAfter is how long a voter must be silent before its VM, back with
+	// an empty folder, takes its place.
 	ReplaceAfter time.Duration
+	// SpareAfter is how long a voter must be silent, with nothing answering for
+	// it, before a spare takes its place.
+	SpareAfter time.Duration
 	// SnapshotEntries is the number of applied log entries after which a
 	// snapshot is taken and the log before it is dropped.
 	SnapshotEntries int
@@ -43,16 +48,17 @@
 
 // Entry holds the entry role's settings.
 type Entry struct {
-	Listen         string        // IP address and port for callers
-	AnnounceListen string        // IP address and port for endpoints and metrics
-	Advertise      string        // where callers reach this entry
-	Control        []string      // addresses of the control processes
-	BalancerDelay  time.Duration // the balancer sends no more this long after /healthz fails
-	DrainDelay     time.Duration // keeps accepting this long after /healthz fails
-	DrainTimeout   time.Duration // cuts off what is still in flight after this
-	QueueLength    int           // waiting requests over all services
-	DefaultTimeout time.Duration // of a request whose route and caller name none
-	MaxBody        int64         // bytes of one request's body
+	Listen         string            // IP address and port for callers
+	AnnounceListen string            // IP address and port for endpoints and metrics
+	Advertise      string            // where callers reach this entry
+	Control        []string          // addresses of the control processes
+	Dial           map[string]string // where to dial one of them instead, by its address
+	BalancerDelay  time.Duration     // the balancer sends no more this long after /healthz fails
+	DrainDelay     time.Duration     // keeps accepting this long after /healthz fails
+	DrainTimeout   time.Duration     // cuts off what is still in flight after this
+	QueueLength    int               // waiting requests over all services
+	DefaultTimeout time.Duration     // of a request whose route and caller name none
+	MaxBody        int64             // bytes of one request's body
 }
 
 // Voters returns the members that form a new cluster.
