Renewals carry their sequence and name unchanged grants by their tag

Change: the entry numbers its renewals and sends the grants' tag while it holds exactly what it was granted; a refusal makes it list its holds again.

--- a/internal/entry/control_test.go
+++ b/internal/entry/control_test.go
@@ -29,12 +29,14 @@
 	config    *apiv1.Configuration
 	endpoints []*apiv1.Endpoint
 	changed   chan struct{}
-	down      bool            // answers nothing but errors
-	gone      map[string]bool // sessions whose lease ran out
-	sessions  map[string]*apiv1.RenewEntryRequest
-	loseTakes int    // answers to takes that are lost after they were applied
-	onTake    func() // called before a take is answered
-	renewDown bool   // answers no renewal
+	down      bool                         // answers nothing but errors
+	gone      map[string]bool              // sessions whose lease ran out
+	tags      map[string]uint64            // of the last answer, by session
+	granted   map[string][]*apiv1.SlotHold // by session
+	tagged    int                          // renewals that named a tag
+	loseTakes int                          // answers to takes that are lost after they were applied
+	onTake    func()                       // called before a take is answered
+	renewDown bool                         // answers no renewal
 }
 
 func newControl(t testing.TB, config *apiv1.Configuration) *control {
@@ -49,7 +51,8 @@
 		config:   config,
 		changed:  make(chan struct{}),
 		gone:     make(map[string]bool),
-		sessions: make(map[string]*apiv1.RenewEntryRequest),
+		tags:     make(map[string]uint64),
+		granted:  make(map[string][]*apiv1.SlotHold),
 	}
 	mux := http.NewServeMux()
 	mux.Handle(apiv1.EntryLinkPathPrefix, apiv1.NewEntryLinkServer(c))
@@ -116,8 +119,19 @@
 	if c.down || c.renewDown {
 		return nil, errDown
 	}
-	c.sessions[request.GetSession()] = request
+	session := request.GetSession()
+	holds := request.GetHolds()
+	if tag := request.GetHoldsTag(); tag != 0 {
+		if tag != c.tags[session] {
+			return nil, twirp.NewError(twirp.FailedPrecondition, "unknown tag")
+		}
+		holds = c.granted[session]
+		c.tagged++
+	}
 	c.ledger.Locate(request.GetSession(), request.GetLocation())
+	grants := c.ledger.RenewInSequence(session, request.GetSequence(), holds, request.GetDemand(), c.endpoints)
+	c.tags[session] = request.GetSequence()
+	c.granted[session] = grants
 	return &apiv1.RenewEntryResponse{
 		LeaseMs:               4000,
 		Revision:              c.revision,
@@ -126,7 +140,8 @@
 		Configuration:         c.config,
 		EndpointsReset:        true,
 		Endpoints:             cloneAll(c.endpoints),
-		Grants:                c.ledger.Renew(request.GetSession(), request.GetHolds(), request.GetDemand(), c.endpoints),
+		Grants:                grants,
+		GrantsTag:             request.GetSequence(),
 		NowUnixMs:             time.Now().UnixMilli(),
 	}, nil
 }
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -358,3 +358,24 @@
 	close(release)
 	is.Equal((<-first).outcome, "done")
 }
+
+// Unchanged grants are named by their tag; a new leader, which does not know
+// it, is told them again.
+func TestGrantsAreNamedByTheirTag(t *testing.T) {
+	is := is.New(t)
+	c := newControl(t, dispatch())
+	serveEndpoint(t, c, "e1", http.HandlerFunc(ok))
+	e := startEntry(t, c, nil)
+	named := func() int {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.tagged
+	}
+	eventually(t, "a renewal names a tag", func() bool { return named() > 0 })
+	c.mu.Lock()
+	clear(c.tags)
+	before := c.tagged
+	c.mu.Unlock()
+	eventually(t, "the new leader's tag is named", func() bool { return named() > before })
+	is.Equal(send(t, e, "GET", "/plans", "").outcome, "done")
+}
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -5,6 +5,9 @@
 	"sort"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
+
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 	"github.com/pistachioport/pistachioport/internal/rpc"
 )
@@ -41,6 +44,7 @@
 	sent := s.lease.Sending()
 	response, err := s.link.Renew(ctx, request)
 	if err != nil {
+		s.noteRefusal(err)
 		return false
 	}
 	known := s.view.Load()
@@ -59,6 +63,15 @@
 	return true
 }
 
+// noteRefusal forgets the tag of the grants after a refusal: a new leader does
+// not know it.
+func (s *Server) noteRefusal(err error) {
+	var refusal twirp.Error
+	if errors.As(err, &refusal) && refusal.Code() == twirp.FailedPrecondition {
+		s.view.Store(s.view.Load().withoutTag())
+	}
+}
+
 // dropGrantsWithoutLease gives up all slots once the lease has run out: the
 // leader may have granted them to others.
 func (s *Server) dropGrantsWithoutLease() {
@@ -77,6 +90,7 @@
 		KnownRevision: known.revision,
 		WaitMs:        renewWait.Milliseconds(),
 		Draining:      s.isDraining(),
+		Sequence:      s.sequence.Add(1),
 	}
 	for _, one := range s.allServices() {
 		demand := one.demand()
@@ -92,5 +106,8 @@
 	sort.Slice(request.Holds, func(i, j int) bool {
 		return request.Holds[i].GetEndpoint() < request.Holds[j].GetEndpoint()
 	})
+	if known.grantsTag != 0 && known.holdsAreGrants(request.Holds) {
+		request.HoldsTag, request.Holds = known.grantsTag, nil
+	}
 	return request
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -30,6 +30,7 @@
 	lease     *lease.Holder
 	memory    memory
 	view      atomic.Pointer[view]
+	sequence  atomic.Uint64 // of the last renewal
 	verifying chan struct{}
 	discovery http.Handler
 
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -14,6 +14,7 @@
 	routes                *routeTable
 	endpoints             map[string]*apiv1.Endpoint // by id
 	grants                map[string]*apiv1.SlotHold // by endpoint
+	grantsTag             uint64                     // names grants to the leader; 0: none
 }
 
 func emptyView() *view {
@@ -32,6 +33,10 @@
 		routes:                v.routes,
 		endpoints:             v.endpoints,
 		grants:                make(map[string]*apiv1.SlotHold, len(response.GetGrants())),
+		grantsTag:             response.GetGrantsTag(),
+	}
+	if response.GetGrantsUnchanged() {
+		after.grants = v.grants
 	}
 	if response.GetConfigurationChanged() && response.GetConfigurationRevision() >= v.configurationRevision {
 		after.configurationRevision = response.GetConfigurationRevision()
@@ -66,9 +71,31 @@
 func (v *view) withoutGrants() *view {
 	after := *v
 	after.grants = make(map[string]*apiv1.SlotHold)
+	after.grantsTag = 0
+	return &after
+}
+
+// withoutTag returns the view with grants that the leader can't name.
+func (v *view) withoutTag() *view {
+	after := *v
+	after.grantsTag = 0
 	return &after
 }
 
+// holdsAreGrants reports whether the entry may use exactly what it was granted.
+func (v *view) holdsAreGrants(holds []*apiv1.SlotHold) bool {
+	if len(holds) != len(v.grants) {
+		return false
+	}
+	for _, hold := range holds {
+		grant, ok := v.grants[hold.GetEndpoint()]
+		if !ok || grant.GetSlots() != hold.GetSlots() || grant.GetConnections() != hold.GetConnections() {
+			return false
+		}
+	}
+	return true
+}
+
 // byService groups the endpoints by service, sorted by id.
 func (v *view) byService() map[string][]*apiv1.Endpoint {
 	groups := make(map[string][]*apiv1.Endpoint)
