--- a/internal/balance/shares/plan.go
+++ b/internal/balance/shares/plan.go
@@ -1,6 +1,7 @@
 package shares
 
 import (
+	"math"
 	"sort"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
@@ -14,10 +15,6 @@
 	spareDenominator = 4
 )
 
-// headroomDivisor sets how much more than its demand an entry needs, so that
-// new requests find a slot before the next renewal.
-const headroomDivisor = 4
-
 // plan is how one service's slots shall be divided.
 type plan struct {
 	service string
@@ -27,15 +24,21 @@
 	short   bool                         // some entry holds less than it needs
 }
 
-// need returns the slots that the entry wants of a service.
-func (e *entry) need(service string) int32 {
-	demand := e.demand[service]
-	return demand + demand/headroomDivisor + 1
+// wants returns the slots that the entry needs of a service for the requests
+// that it has. Every entry wants one.
+func (e *entry) wants(service string) int32 {
+	return max(1, e.demand[service])
+}
+
+// headroom returns the slots that new requests will likely need before the
+// next renewal: about one standard deviation of a random demand.
+func (e *entry) headroom(service string) int32 {
+	return 1 + int32(math.Sqrt(float64(e.demand[service])))
 }
 
 // newPlan divides a service's slots: first each region's among its own
-// entries' needs, then what is left among unmet needs elsewhere, then most of
-// the rest among the region's own entries.
+// entries' requests, then among their headroom, then what is left among unmet
+// needs elsewhere, then most of the rest among the region's own entries.
 func newPlan(service string, endpoints []*apiv1.Endpoint, entries []*entry, now clock.Reading) *plan {
 	p := &plan{
 		service: service,
@@ -57,13 +60,19 @@
 func (p *plan) divide(entries []*entry) {
 	unmet := make(map[string]int32)
 	for _, e := range entries {
-		unmet[e.session] = e.need(p.service)
+		unmet[e.session] = e.wants(p.service)
 		p.targets[e.session] = make(map[string]int32)
 	}
 	left := make(map[string]int32)
 	for _, region := range p.regions {
 		left[region] = p.give(region, p.capacity(region), local(entries, region), unmet)
 	}
+	for _, e := range entries {
+		unmet[e.session] += e.headroom(p.service)
+	}
+	for _, region := range p.regions {
+		left[region] = p.give(region, left[region], local(entries, region), unmet)
+	}
 	for _, region := range p.regions {
 		left[region] = p.give(region, left[region], entries, unmet)
 	}
--- /dev/null
+++ b/internal/entry/compare_model_test.go
@@ -0,0 +1,412 @@
+package entry
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/balance"
+	"github.com/pistachioport/pistachioport/internal/balance/shares"
+	"github.com/pistachioport/pistachioport/internal/clock"
+)
+
+// Sizes of the comparison: those of today.
+const (
+	modelEntries    = 12
+	modelEndpoints  = 50
+	modelSlots      = 8
+	modelService    = 50 * time.Millisecond // mean, exponential
+	modelSlow       = 5                     // endpoints that take modelSlowFactor times as long
+	modelSlowFactor = 4
+	modelFailing    = 3 // endpoints that fail half of their requests quickly
+	modelWarmUp     = 5 * time.Second
+	modelRamp       = 3 * time.Second // of the load at the begin of the warm-up
+	modelRun        = 10 * time.Second
+	modelBytes      = 8 << 10 // of a request and its answer
+	modelOpenSlots  = 64      // that each entry may use of each endpoint without shares
+	urgentShare     = 0.4
+	urgentDeadline  = time.Second
+	bulkDeadline    = 10 * time.Second
+)
+
+var modelBegin = time.Unix(1_700_000_000, 0)
+
+// model is a discrete model of choosers in virtual time: real pools, ledger
+// and queues; endpoints that serve modelSlots requests at once and queue the
+// rest in order of arrival.
+type model struct {
+	policy    func() balance.Policy
+	shared    bool // slots are granted by a ledger
+	random    *rand.Rand
+	now       time.Duration
+	events    events
+	sequence  int
+	clock     *clock.Manual
+	ledger    *shares.Ledger
+	endpoints []*modelEndpoint
+	entries   []*modelEntry
+	result    modelResult
+}
+
+type modelEndpoint struct {
+	announced *apiv1.Endpoint
+	slow      bool
+	failing   bool
+	busy      int
+	waiting   []func()
+}
+
+type modelEntry struct {
+	session  string
+	location *apiv1.Location
+	weight   float64
+	pool     *balance.Pool
+	link     *balance.Link
+	queue    *queue
+	inFlight map[string]int
+	jobs     map[*waiter]*modelRequest
+	budget   *balance.RetryBudget
+	grants   map[string]*apiv1.SlotHold
+	sequence uint64
+}
+
+type modelRequest struct {
+	class    apiv1.Class
+	arrived  time.Duration
+	deadline time.Duration
+	avoid    map[string]bool
+	tries    int
+}
+
+// modelResult is one line of the table.
+type modelResult struct {
+	urgent, bulk []time.Duration // from arrival until service begins
+	done, failed int
+	shed         int // not run before their deadline
+	busy         time.Duration
+	overSlots    int // requests that reached an endpoint whose slots were all in use
+	sent         int
+	crossed      int64 // bytes
+}
+
+type event struct {
+	at       time.Duration
+	sequence int
+	run      func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].sequence < e[j].sequence
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func newModel(policy func() balance.Policy, shared bool) *model {
+	m := &model{policy: policy, shared: shared, random: rand.New(rand.NewPCG(7, 7)), clock: clock.NewManual(modelBegin)}
+	m.ledger = shares.NewLedger(shares.Options{Clock: m.clock})
+	m.clock.Advance(time.Minute)
+	places := []*apiv1.Location{
+		{Region: "sur", FailureDomain: "sur-montevideo"},
+		{Region: "sur", FailureDomain: "sur-canelones"},
+		{Region: "norte", FailureDomain: "norte-salto"},
+	}
+	for i := range modelEndpoints {
+		m.endpoints = append(m.endpoints, &modelEndpoint{
+			announced: &apiv1.Endpoint{
+				Id: fmt.Sprintf("e%02d", i), Service: "dispatch", Address: "10.0.0.1:80",
+				Location: places[i%3], Slots: modelSlots, Connections: 8 * modelSlots,
+			},
+			slow:    i < modelSlow,
+			failing: i >= modelSlow && i < modelSlow+modelFailing,
+		})
+	}
+	for i := range modelEntries {
+		m.addEntry(i, places[i%3])
+	}
+	return m
+}
+
+// addEntry adds an entry. The first of each failure domain have the most load,
+// and the south has a little more than its part of the endpoints.
+func (m *model) addEntry(i int, location *apiv1.Location) {
+	link := balance.NewLink(defaultLinkRate, modelBegin)
+	weight := 1 / float64(1+i/3)
+	if location.GetRegion() == "norte" {
+		weight *= 0.8
+	}
+	m.entries = append(m.entries, &modelEntry{
+		session: fmt.Sprintf("s%02d", i), location: location, weight: weight, link: link,
+		pool:     balance.NewPool(location, m.policy(), link, uint64(i)),
+		queue:    newQueue(),
+		inFlight: make(map[string]int),
+		jobs:     make(map[*waiter]*modelRequest),
+		budget:   balance.NewRetryBudget(),
+	})
+}
+
+func (m *model) time() time.Time { return modelBegin.Add(m.now) }
+
+func (m *model) after(d time.Duration, run func()) {
+	m.sequence++
+	heap.Push(&m.events, event{at: m.now + d, sequence: m.sequence, run: run})
+}
+
+// capacity returns how many requests a second all endpoints can serve.
+func (m *model) capacity() float64 {
+	var sum float64
+	for _, e := range m.endpoints {
+		sum += modelSlots / m.mean(e).Seconds()
+	}
+	return sum
+}
+
+func (m *model) mean(e *modelEndpoint) time.Duration {
+	if e.slow {
+		return modelService * modelSlowFactor
+	}
+	return modelService
+}
+
+func (m *model) run(load float64) modelResult {
+	var total float64
+	for _, e := range m.entries {
+		total += e.weight
+	}
+	for i, e := range m.entries {
+		m.after(time.Duration(i)*time.Millisecond, func() { m.renew(e) })
+		rate := load * m.capacity() * e.weight / total
+		m.after(100*time.Millisecond, func() { m.arrive(e, rate) })
+		m.tick(e)
+	}
+	for len(m.events) > 0 {
+		next := heap.Pop(&m.events).(event)
+		if next.at > modelWarmUp+modelRun {
+			break
+		}
+		m.clock.Advance(next.at - m.now)
+		m.now = next.at
+		next.run()
+	}
+	return m.result
+}
+
+func (m *model) tick(e *modelEntry) {
+	m.dispatch(e)
+	m.after(dispatchInterval, func() { m.tick(e) })
+}
+
+// renew is one long poll: what the entry holds counts from the receipt, and a
+// change of its grants is answered after grantPause.
+func (m *model) renew(e *modelEntry) {
+	e.sequence++
+	holds := e.pool.Holds(func(string) int { return 0 })
+	wait := renewWait(m.demand(e))
+	if m.shared && differ(e.grants, m.grants(e, holds)) {
+		wait = min(wait, grantPause)
+	}
+	m.after(wait, func() {
+		e.grants = m.grants(e, holds)
+		e.pool.Update(m.time(), m.announced(), e.grants)
+		m.dispatch(e)
+		m.renew(e)
+	})
+}
+
+// grantPause is how soon control answers a renewal when grants have changed.
+const grantPause = 20 * time.Millisecond
+
+func (m *model) announced() []*apiv1.Endpoint {
+	var all []*apiv1.Endpoint
+	for _, endpoint := range m.endpoints {
+		all = append(all, endpoint.announced)
+	}
+	return all
+}
+
+// grants returns what the ledger grants, or plenty without shares.
+func (m *model) grants(e *modelEntry, holds []*apiv1.SlotHold) map[string]*apiv1.SlotHold {
+	grants := make(map[string]*apiv1.SlotHold)
+	if !m.shared {
+		for _, endpoint := range m.endpoints {
+			grants[endpoint.announced.GetId()] = &apiv1.SlotHold{Slots: modelOpenSlots, Connections: modelOpenSlots}
+		}
+		return grants
+	}
+	m.ledger.Locate(e.session, e.location)
+	demand := []*apiv1.ServiceDemand{m.demand(e)}
+	for _, grant := range m.ledger.RenewInSequence(e.session, e.sequence, holds, demand, m.announced()) {
+		grants[grant.GetEndpoint()] = grant
+	}
+	return grants
+}
+
+func (m *model) demand(e *modelEntry) *apiv1.ServiceDemand {
+	return &apiv1.ServiceDemand{
+		Service:  "dispatch",
+		InFlight: int32(e.pool.Usage(m.time()).InFlight),
+		Waiting:  int32(e.queue.size),
+	}
+}
+
+func differ(a, b map[string]*apiv1.SlotHold) bool {
+	if len(a) != len(b) {
+		return true
+	}
+	for id := range a {
+		if a[id].GetSlots() != b[id].GetSlots() {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *model) arrive(e *modelEntry, rate float64) {
+	r := &modelRequest{class: bulk, arrived: m.now, deadline: m.now + bulkDeadline, avoid: make(map[string]bool)}
+	if m.random.Float64() < urgentShare {
+		r.class, r.deadline = urgent, m.now+urgentDeadline
+	}
+	e.budget.Deposit()
+	m.enqueue(e, r)
+	m.dispatch(e)
+	present := rate * min(1, max(0.1, m.now.Seconds()/modelRamp.Seconds()))
+	m.after(time.Duration(m.random.ExpFloat64()/present*float64(time.Second)), func() { m.arrive(e, rate) })
+}
+
+func (m *model) enqueue(e *modelEntry, r *modelRequest) {
+	w := newWaiter(r.class, "caller", modelBegin.Add(r.deadline), modelBegin.Add(r.arrived))
+	w.avoid = r.avoid
+	e.jobs[w] = r
+	e.queue.add(w)
+	if e.queue.size > defaultMaxQueue {
+		m.shed(e, e.queue.victim())
+	}
+}
+
+func (m *model) shed(e *modelEntry, w *waiter) {
+	e.queue.remove(w)
+	m.count(e.jobs[w], func() { m.result.shed++ })
+	delete(e.jobs, w)
+}
+
+// count notes a request that arrived after the warm-up.
+func (m *model) count(r *modelRequest, note func()) {
+	if r.arrived >= modelWarmUp {
+		note()
+	}
+}
+
+func (m *model) dispatch(e *modelEntry) {
+	for e.queue.size > 0 && m.dispatchOne(e) {
+	}
+}
+
+func (m *model) dispatchOne(e *modelEntry) bool {
+	served := false
+	e.queue.inOrder(e.inFlight, func(w *waiter) bool {
+		if m.now > e.jobs[w].deadline {
+			m.shed(e, w)
+			served = true
+			return false
+		}
+		slot, ok := e.pool.Acquire(m.time(), w.request(m.time(), defaultSpillAfter))
+		if !ok {
+			return true
+		}
+		r := e.jobs[w]
+		e.queue.remove(w)
+		delete(e.jobs, w)
+		m.send(e, r, slot)
+		served = true
+		return false
+	})
+	return served
+}
+
+func latency(p balance.Proximity) time.Duration {
+	return []time.Duration{500 * time.Microsecond, time.Millisecond, 8 * time.Millisecond}[p]
+}
+
+func (m *model) send(e *modelEntry, r *modelRequest, slot *balance.Slot) {
+	sent := m.now
+	var number int
+	_, _ = fmt.Sscanf(slot.ID, "e%d", &number)
+	endpoint := m.endpoints[number]
+	if slot.Proximity == balance.OtherRegion {
+		e.link.Count(modelBytes)
+		m.count(r, func() { m.result.crossed += modelBytes })
+	}
+	m.after(latency(slot.Proximity), func() {
+		m.count(r, func() { m.result.sent++ })
+		start := func() { m.serve(e, r, slot, endpoint, sent) }
+		if endpoint.busy >= modelSlots {
+			m.count(r, func() { m.result.overSlots++ })
+			endpoint.waiting = append(endpoint.waiting, start)
+			return
+		}
+		start()
+	})
+}
+
+func (m *model) serve(e *modelEntry, r *modelRequest, slot *balance.Slot, endpoint *modelEndpoint, sent time.Duration) {
+	endpoint.busy++
+	length := time.Duration(m.random.ExpFloat64() * float64(m.mean(endpoint)))
+	failed := endpoint.failing && m.random.Float64() < 0.5
+	if failed {
+		length /= 10
+	}
+	m.noteWait(r)
+	m.after(length, func() {
+		m.count(r, func() { m.result.busy += length })
+		endpoint.busy--
+		if len(endpoint.waiting) > 0 {
+			next := endpoint.waiting[0]
+			endpoint.waiting = endpoint.waiting[1:]
+			next()
+		}
+		m.after(latency(slot.Proximity), func() { m.finish(e, r, slot, failed, sent) })
+	})
+}
+
+func (m *model) noteWait(r *modelRequest) {
+	m.count(r, func() {
+		if r.class == urgent {
+			m.result.urgent = append(m.result.urgent, m.now-r.arrived)
+		} else {
+			m.result.bulk = append(m.result.bulk, m.now-r.arrived)
+		}
+	})
+}
+
+func (m *model) finish(e *modelEntry, r *modelRequest, slot *balance.Slot, failed bool, sent time.Duration) {
+	slot.Release(m.time(), balance.Result{Latency: m.now - sent, Failed: failed})
+	r.tries++
+	switch {
+	case !failed:
+		m.count(r, func() { m.result.done++ })
+	case r.tries < maxTries && e.budget.Withdraw():
+		r.avoid[slot.ID] = true
+		m.enqueue(e, r)
+	default:
+		m.count(r, func() { m.result.failed++ })
+	}
+	m.dispatch(e)
+}
+
+func quantile(waits []time.Duration, q float64) time.Duration {
+	if len(waits) == 0 {
+		return 0
+	}
+	sort.Slice(waits, func(i, j int) bool { return waits[i] < waits[j] })
+	return waits[int(q*float64(len(waits)-1))]
+}
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	renewWait        = time.Second            // for which a renewal waits for a change
+	renewWaitIdle    = time.Second            // for which a renewal waits for a change
+	renewWaitBusy    = 200 * time.Millisecond // the same, with requests in flight
 	renewWaitStarved = 100 * time.Millisecond // the same, while requests wait for slots
 	renewMargin      = 500 * time.Millisecond // past the wait, until another control process is tried
 	renewPause       = 100 * time.Millisecond // after a failure
@@ -88,18 +89,17 @@
 		Location:      s.config.Location,
 		Address:       s.config.Address,
 		KnownRevision: known.revision,
-		WaitMs:        renewWait.Milliseconds(),
 		Draining:      s.isDraining(),
 		Sequence:      s.sequence.Add(1),
 	}
+	wait := renewWaitIdle
 	for _, one := range s.allServices() {
 		demand := one.demand()
 		request.Demand = append(request.Demand, demand)
 		request.Holds = append(request.Holds, one.pool.Holds(s.upstreams.open)...)
-		if demand.GetWaiting() > 0 {
-			request.WaitMs = renewWaitStarved.Milliseconds()
-		}
+		wait = min(wait, renewWait(demand))
 	}
+	request.WaitMs = wait.Milliseconds()
 	sort.Slice(request.Demand, func(i, j int) bool {
 		return request.Demand[i].GetService() < request.Demand[j].GetService()
 	})
@@ -111,3 +111,16 @@
 	}
 	return request
 }
+
+// renewWait returns how long a renewal may wait: the less, the sooner the
+// leader must learn of the entry's demand.
+func renewWait(demand *apiv1.ServiceDemand) time.Duration {
+	switch {
+	case demand.GetWaiting() > 0:
+		return renewWaitStarved
+	case demand.GetInFlight() > 0:
+		return renewWaitBusy
+	default:
+		return renewWaitIdle
+	}
+}
