--- a/internal/entry/control_test.go
+++ b/internal/entry/control_test.go
@@ -76,6 +76,15 @@
 	c.bump()
 }
 
+// moveBack makes the control process answer with an older revision.
+func (c *control) moveBack() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bump()
+	c.revision = 0
+	c.endpoints = nil
+}
+
 func (c *control) withdraw(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -23,7 +23,7 @@
 	inFlight    metrics.Gauge
 	waiting     metrics.Gauge
 	linkBytes   metrics.Gauge // bytes over the link between regions so far
-	wait        metrics.Timer // for a slot
+	wait        metrics.Timer // for a slot, of requests that found none free
 }
 
 func newCounters(registry metrics.Registry) *counters {
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -379,3 +379,42 @@
 	eventually(t, "the new leader's tag is named", func() bool { return named() > before })
 	is.Equal(send(t, e, "GET", "/plans", "").outcome, "done")
 }
+
+// An endpoint that announces itself at another address gets what is new there.
+func TestAnnouncedAgainElsewhere(t *testing.T) {
+	is := is.New(t)
+	c := newControl(t, dispatch())
+	before, after := newRecord(), newRecord()
+	serveEndpoint(t, c, "e1", recording(before, ok))
+	e := startEntry(t, c, nil)
+	is.Equal(send(t, e, "POST", "/orders", "first").outcome, "done")
+	c.withdraw("e1")
+	serveEndpoint(t, c, "e1", recording(after, ok))
+	eventually(t, "an order goes to the new address", func() bool {
+		send(t, e, "POST", "/orders", "later")
+		return after.total() > 0
+	})
+	seen := before.total()
+	for range 20 {
+		is.Equal(send(t, e, "POST", "/orders", "later").outcome, "done")
+	}
+	is.Equal(before.total(), seen)
+}
+
+// What an entry knows never goes back, and a process that knows less does not
+// renew its lease.
+func TestRevisionNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	c := newControl(t, dispatch())
+	received := newRecord()
+	serveEndpoint(t, c, "e1", recording(received, ok))
+	manual := clock.NewManual(time.Now())
+	e := startEntry(t, c, func(config *entry.Config) { config.Clock = manual })
+	is.Equal(send(t, e, "POST", "/orders", "first").outcome, "done")
+	c.moveBack()
+	is.Equal(send(t, e, "POST", "/orders", "second").outcome, "done") // its endpoint is still known
+	manual.Advance(4 * time.Second)
+	is.True(!e.healthy(t))
+	is.Equal(send(t, e, "POST", "/orders", "third").outcome, "not-run")
+	is.Equal(received.total(), 2)
+}
--- a/internal/entry/queue.go
+++ b/internal/entry/queue.go
@@ -107,8 +107,7 @@
 	}
 }
 
-// heads returns each caller's first waiter of a class, and for a caller with
-// more, the first that may go elsewhere than its head.
+// heads returns each caller's first waiter of a class.
 func (q *queue) heads(class apiv1.Class) []*waiter {
 	heads := make([]*waiter, 0, len(q.lines[class]))
 	for _, line := range q.lines[class] {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -88,6 +88,7 @@
 	if !ok {
 		pool := balance.NewPool(s.config.Location, s.config.Policy(), s.budget, uint64(time.Now().UnixNano()))
 		found = newService(name, pool, s.limits)
+		found.waited = s.metrics.wait
 		s.services[name] = found
 	}
 	return found
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
+
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 	"github.com/pistachioport/pistachioport/internal/balance"
 )
@@ -21,6 +23,7 @@
 	pool   *balance.Pool
 	limits Limits
 	budget *balance.RetryBudget
+	waited metrics.Timer // of requests that found no free slot; nil: not measured
 
 	mu       sync.Mutex
 	queue    *queue
@@ -60,6 +63,15 @@
 	if slot, ok := s.tryAcquire(w); ok {
 		return slot, nil
 	}
+	slot, refusal := s.await(ctx, w)
+	if refusal == nil && s.waited != nil {
+		s.waited.UpdateSince(w.since)
+	}
+	return slot, refusal
+}
+
+// await queues until a slot is given.
+func (s *service) await(ctx context.Context, w *waiter) (*balance.Slot, *problem) {
 	if refusal := s.enqueue(w); refusal != nil {
 		return nil, refusal
 	}
