--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -5,12 +5,16 @@
 	"sort"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
+
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 	"github.com/pistachioport/pistachioport/internal/rpc"
 )
 
 const (
-	renewWait        = time.Second            // for which a renewal waits for a change
+	renewWaitIdle    = time.Second            // for which a renewal waits for a change
+	renewWaitBusy    = 200 * time.Millisecond // the same, with requests in flight
 	renewWaitStarved = 100 * time.Millisecond // the same, while requests wait for slots
 	renewMargin      = 500 * time.Millisecond // past the wait, until another control process is tried
 	renewPause       = 100 * time.Millisecond // after a failure
@@ -41,6 +45,7 @@
 	sent := s.lease.Sending()
 	response, err := s.link.Renew(ctx, request)
 	if err != nil {
+		s.noteRefusal(err)
 		return false
 	}
 	known := s.view.Load()
@@ -59,6 +64,15 @@
 	return true
 }
 
+// noteRefusal forgets the tag of the grants after a refusal: a new leader does
+// not know it.
+func (s *Server) noteRefusal(err error) {
+	var refusal twirp.Error
+	if errors.As(err, &refusal) && refusal.Code() == twirp.FailedPrecondition {
+		s.view.Store(s.view.Load().withoutTag())
+	}
+}
+
 // dropGrantsWithoutLease gives up all slots once the lease has run out: the
 // leader may have granted them to others.
 func (s *Server) dropGrantsWithoutLease() {
@@ -75,22 +89,38 @@
 		Location:      s.config.Location,
 		Address:       s.config.Address,
 		KnownRevision: known.revision,
-		WaitMs:        renewWait.Milliseconds(),
 		Draining:      s.isDraining(),
+		Sequence:      s.sequence.Add(1),
 	}
+	wait := renewWaitIdle
 	for _, one := range s.allServices() {
 		demand := one.demand()
 		request.Demand = append(request.Demand, demand)
 		request.Holds = append(request.Holds, one.pool.Holds(s.upstreams.open)...)
-		if demand.GetWaiting() > 0 {
-			request.WaitMs = renewWaitStarved.Milliseconds()
-		}
+		wait = min(wait, renewWait(demand))
 	}
+	request.WaitMs = wait.Milliseconds()
 	sort.Slice(request.Demand, func(i, j int) bool {
 		return request.Demand[i].GetService() < request.Demand[j].GetService()
 	})
 	sort.Slice(request.Holds, func(i, j int) bool {
 		return request.Holds[i].GetEndpoint() < request.Holds[j].GetEndpoint()
 	})
+	if known.grantsTag != 0 && known.holdsAreGrants(request.Holds) {
+		request.HoldsTag, request.Holds = known.grantsTag, nil
+	}
 	return request
 }
+
+// renewWait returns how long a renewal may wait: the less, the sooner the
+// leader must learn of the entry's demand.
+func renewWait(demand *apiv1.ServiceDemand) time.Duration {
+	switch {
+	case demand.GetWaiting() > 0:
+		return renewWaitStarved
+	case demand.GetInFlight() > 0:
+		return renewWaitBusy
+	default:
+		return renewWaitIdle
+	}
+}
