scheduler: reservations keep their workers; tests of the lease's bar and of stray attempts

Cause: refreshed reservations chose other workers each time, and admitted work on room that was only expected to be free; with run times ten times off gangs were passed over again and again. Change: a reservation keeps its workers and is postponed until they are free; other work passes only on room that is free now, or if it is expected to end in time and is stopped at that time. Bulk work is served among normal work after 10 minutes. Not solved: gangs still wait longer than first come, first served, batch tasks less than half as long.

--- a/internal/placement/failure_test.go
+++ b/internal/placement/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -219,7 +220,7 @@
 	second, _ := c.linked("w1", nil)
 	c.start(second.Run)
 	c.settle()
-	is.Equal(c.state("dispatch", 0), apiv1.TaskState_TASK_STATE_RUNNING) // the first boot's lease still runs
+	is.Equal(c.table.AliveBoots()[0].Boot, first.Boot()) // its lease still runs
 	c.clock.Advance(leaseOver)
 	c.until("start on the new boot", func() bool { return len(second.Running()) == 1 })
 	is.Equal(c.state("refit", 0), apiv1.TaskState_TASK_STATE_UNKNOWN)
@@ -293,3 +294,58 @@
 	c.until("start on the other worker", func() bool { return len(near.Running()) == 1 })
 	is.True(!s.ranTwice())
 }
+
+func TestNoLeaseIsGrantedWhileItsEndIsBeingDecided(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	var tried, answered atomic.Int64
+	c.log.refuse = func(command *apiv1.PlacementCommand) error {
+		if len(command.GetExpire()) == 0 {
+			return nil
+		}
+		tried.Add(1)
+		return replica.ErrUnknownFate
+	}
+	c.lead()
+	w, l := c.linked("w1", nil)
+	c.start(w.Run)
+	c.publish(job("dispatch", apiv1.JobKind_JOB_KIND_SERVICE, 1, "serve"))
+	c.awaitState("dispatch", 0, apiv1.TaskState_TASK_STATE_RUNNING)
+	l.set(func(l *link) { l.cut = true })
+	c.clock.Advance(leaseOver)
+	c.until("try to end the lease", func() bool { return tried.Load() > 0 })
+	c.until("stop on the worker", func() bool { return len(w.Running()) == 0 })
+	l.set(func(l *link) {
+		l.cut = false
+		l.replace = func(response *apiv1.RenewWorkerResponse) *apiv1.RenewWorkerResponse {
+			answered.Add(1)
+			return response
+		}
+	})
+	c.settle()
+	is.Equal(answered.Load(), int64(0))
+}
+
+func TestAnAttemptThatDoesNotCountIsOrderedToStop(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.lead()
+	w := &apiv1.Worker{Name: "w1", Boot: "b", Capacity: &apiv1.Resources{CpuMillis: 1000}}
+	request := &apiv1.RenewWorkerRequest{
+		Worker: w,
+		Reports: []*apiv1.AttemptReport{
+			{Attempt: "runs", Phase: apiv1.AttemptReport_PHASE_RUNNING},
+			{Attempt: "ended", Phase: apiv1.AttemptReport_PHASE_STOPPED},
+		},
+	}
+	var response *apiv1.RenewWorkerResponse
+	c.until("answer", func() bool {
+		var err error
+		response, err = c.duty.Renew(context.Background(), request)
+		return err == nil
+	})
+	is.Equal(len(response.GetOrders()), 1)
+	is.Equal(response.GetOrders()[0].GetKind(), apiv1.Order_KIND_STOP)
+	is.Equal(response.GetOrders()[0].GetAttempt().GetId(), "runs")
+	is.Equal(response.GetAcknowledged(), []string{"ended"})
+}
--- a/internal/scheduler/replay_bench_test.go
+++ b/internal/scheduler/replay_bench_test.go
@@ -215,7 +215,7 @@
 	now := int64(0)
 	serial := 0
 	place := func(amount resources.Amount) int {
-		return slices.IndexFunc(free, func(f resources.Amount) bool { return amount.FitsIn(f) })
+		return slices.IndexFunc(free, amount.FitsIn)
 	}
 	release := func() {
 		one := heap.Pop(&ends).(ending)
--- a/internal/scheduler/reservation.go
+++ b/internal/scheduler/reservation.go
@@ -13,8 +13,8 @@
 	// preemptedMs is how long preempted attempts may take to end before the
 	// room that they make is no longer kept.
 	preemptedMs = 30 * 1000
-	// refreshMs is how old a reservation may become before its time and its
-	// workers are chosen anew: attempts end sooner or later than expected.
+	// refreshMs is how often a reservation's time is worked out anew: attempts end
+	// sooner or later than expected.
 	refreshMs = 10 * 1000
 	// maxScans bounds the searches for victims or for a reservation's time in
 	// one round; a job beyond it tries again after scanPauseMs.
@@ -55,14 +55,11 @@
 	if others == (resources.Amount{}) {
 		return true, false
 	}
-	needed := r.Amount.Plus(others)
-	if needed.FitsIn(w.Free) {
+	if r.Amount.Plus(others).FitsIn(w.Free) {
 		return true, false
 	}
-	if r.Expected > 0 && r.Now+r.Expected <= due {
-		return true, true
-	}
-	return needed.FitsIn(w.freeAt(r.Now, due)), false
+	backfill = r.Expected > 0 && r.Now+r.Expected <= due
+	return backfill, backfill
 }
 
 // othersReserved sums up what is kept on the worker for jobs that the request
@@ -155,18 +152,81 @@
 		case c.stopOverrun(kept, d):
 			kept.last = c.now + preemptedMs
 		case c.now >= kept.last:
-			c.release(name)
+			c.postpone(j, kept)
 		}
 	}
 }
 
-// refresh makes the reservation anew if it is old. It ends if the job is no
-// longer expected to fit at any time.
+// refresh brings the reservation's time forward if its workers are expected to
+// be free sooner.
 func (c *Cell) refresh(j *job, kept *reservation) {
-	if c.now-kept.made >= refreshMs {
-		c.release(j.name)
-		c.reserve(j, j.next())
+	if c.now-kept.made < refreshMs {
+		return
+	}
+	kept.made = c.now
+	due, ok := c.slotsDue(kept)
+	if !ok {
+		c.renewReservation(j)
+		return
+	}
+	if due < kept.due {
+		kept.due, kept.last = due, due+preemptedMs
+	}
+}
+
+// postpone gives a reservation whose time has passed a later one. It keeps its
+// workers, so that their room adds up however long their attempts overrun.
+func (c *Cell) postpone(j *job, kept *reservation) {
+	due, ok := c.slotsDue(kept)
+	if !ok || due == c.now {
+		c.renewReservation(j)
+		return
+	}
+	kept.due, kept.last, kept.made = due, due+preemptedMs, c.now
+}
+
+// renewReservation chooses time and workers anew. The reservation ends if the
+// job is not expected to fit at any time.
+func (c *Cell) renewReservation(j *job) {
+	c.release(j.name)
+	c.reserve(j, j.next())
+}
+
+// slotsDue returns when the reservation's workers are expected to have its
+// room free; false: one of them never.
+func (c *Cell) slotsDue(kept *reservation) (int64, bool) {
+	due := c.now
+	request := c.request(c.jobs[kept.job])
+	for name, slot := range kept.slots {
+		w := c.workers[name]
+		others, _ := c.othersReserved(request, w)
+		at, ok := w.freeFrom(c.now, slot.Plus(others))
+		if !ok {
+			return 0, false
+		}
+		due = max(due, at)
+	}
+	return due, true
+}
+
+// freeFrom returns when the worker is expected to have the amount free.
+func (w *Worker) freeFrom(now int64, amount resources.Amount) (int64, bool) {
+	if amount.FitsIn(w.Free) {
+		return now, true
+	}
+	ends := make([]int64, 0, len(w.live))
+	for _, r := range w.live {
+		if end := r.end(now); end < never {
+			ends = append(ends, end)
+		}
+	}
+	slices.Sort(ends)
+	for _, end := range ends {
+		if amount.FitsIn(w.freeAt(now, end)) {
+			return end, true
+		}
 	}
+	return 0, false
 }
 
 // placeReserved places tasks of the reservation's job before any other job is
--- a/internal/scheduler/round.go
+++ b/internal/scheduler/round.go
@@ -27,12 +27,25 @@
 	for _, j := range c.ready {
 		retry := j.retryAt != 0 && c.now >= j.retryAt
 		if j.blocked != c.growth || retry {
-			byClass[j.class()] = append(byClass[j.class()], j)
+			class := c.served(j)
+			byClass[class] = append(byClass[class], j)
 		}
 	}
 	return byClass
 }
 
+// bulkPatienceMs is how long bulk work waits before it is served among normal
+// work, so that a steady stream of normal work can't hold it up for good.
+const bulkPatienceMs = 10 * 60 * 1000
+
+// served returns the class among which the job is served.
+func (c *Cell) served(j *job) apiv1.Class {
+	if j.class() == apiv1.Class_CLASS_BULK && c.now-j.since >= bulkPatienceMs {
+		return apiv1.Class_CLASS_NORMAL
+	}
+	return j.class()
+}
+
 func (c *Cell) serve(jobs []*job, limit int, d *Decision) {
 	if len(jobs) == 0 {
 		return
