scheduler: room is kept for the jobs that have waited longest

Cause: four young gangs could hold all reservations while older ones waited. Change: beyond the limit the youngest job's reservation ends for an older one; bulk work gets a reservation after 60 s in place of 5 min.

--- a/internal/scheduler/reservation.go
+++ b/internal/scheduler/reservation.go
@@ -38,7 +38,7 @@
 	case apiv1.Class_CLASS_URGENT:
 		return 0
 	case apiv1.Class_CLASS_BULK:
-		return 5 * 60 * 1000
+		return 60 * 1000
 	default:
 		return 15 * 1000
 	}
--- a/internal/scheduler/shadow.go
+++ b/internal/scheduler/shadow.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/pistachioport/pistachioport/internal/scheduler/resources"
@@ -9,7 +10,7 @@
 // reserve keeps room for n tasks of a job at the earliest time at which they
 // are expected to fit, if that time can be foretold.
 func (c *Cell) reserve(j *job, n int) {
-	if _, kept := c.reservations[j.name]; kept || len(c.reservations) >= maxReservations {
+	if _, kept := c.reservations[j.name]; kept || !c.giveWay(j) {
 		return
 	}
 	c.scans++
@@ -28,6 +29,34 @@
 	})
 }
 
+// giveWay makes one more reservation possible: beyond the limit, that of the
+// job that has waited least ends if j has waited longer.
+func (c *Cell) giveWay(j *job) bool {
+	if len(c.reservations) < maxReservations {
+		return true
+	}
+	var youngest *job
+	for name, kept := range c.reservations {
+		other := c.jobs[name]
+		if kept.due <= c.now {
+			continue // its room is being made
+		}
+		if youngest == nil || compareAge(other, youngest) > 0 {
+			youngest = other
+		}
+	}
+	if youngest == nil || compareAge(youngest, j) <= 0 {
+		return false
+	}
+	c.release(youngest.name)
+	return true
+}
+
+// compareAge puts first the job that has waited longer.
+func compareAge(a, b *job) int {
+	return cmp.Or(cmp.Compare(a.since, b.since), cmp.Compare(a.name, b.name))
+}
+
 // shadowTime returns when n tasks of the job are expected to fit.
 func (c *Cell) shadowTime(j *job, n int) (int64, bool) {
 	ends := []int64{c.now}
