Operators' files: routes in the cell's order

Cause: the cell keeps routes sorted by prefix, so a comparison of the files with what is in force showed a change where there was none. Failing first: TestExamplesAreWithoutFindings/despacho, once it compares the result with state.Canonical; and the demo's preview, "changed job dispatch". Change: collected routes are sorted by prefix, their methods by name. State: go test ./internal/spec passes; the demo's preview shows no such line.

--- a/internal/spec/collect_test.go
+++ b/internal/spec/collect_test.go
@@ -76,7 +76,8 @@
 			configuration, err := spec.Collect("../../examples/" + user + "/spec")
 			is.NoErr(err)
 			is.Equal(len(configuration.GetJobs()), jobs)
-			is.NoErr(state.Validate(configuration)) // the cell's own check agrees
+			is.NoErr(state.Validate(configuration))                             // the cell's own check agrees
+			is.True(proto.Equal(configuration, state.Canonical(configuration))) // what the cell keeps is what was read
 		})
 	}
 }
@@ -101,15 +102,16 @@
 
 	dispatch := byName["dispatch"]
 	is.Equal(dispatch.GetSpread(), apiv1.Spread_SPREAD_FAILURE_DOMAIN)
-	nonIdempotent := map[string]bool{}
+	nonIdempotent, class := map[string]bool{}, map[string]apiv1.Class{}
 	for _, route := range dispatch.GetRoutes() {
 		nonIdempotent[route.GetPathPrefix()] = route.GetNonIdempotent()
+		class[route.GetPathPrefix()] = route.GetClass()
 	}
 	is.Equal(nonIdempotent, map[string]bool{
 		"/plans": false, "/rebalancing": false, "/confirmations": true, "/orders": true,
 	})
-	is.Equal(dispatch.GetRoutes()[0].GetClass(), apiv1.Class_CLASS_NORMAL) // its own
-	is.Equal(dispatch.GetRoutes()[2].GetClass(), apiv1.Class_CLASS_URGENT) // the job's
+	is.Equal(class["/plans"], apiv1.Class_CLASS_NORMAL)         // its own
+	is.Equal(class["/confirmations"], apiv1.Class_CLASS_URGENT) // the job's
 }
 
 func TestCollectionDoesNotDependOnTheOrderOfFiles(t *testing.T) {
--- a/internal/spec/collection.go
+++ b/internal/spec/collection.go
@@ -62,6 +62,7 @@
 func (c *collection) configuration() *apiv1.Configuration {
 	configuration := &apiv1.Configuration{}
 	for _, j := range c.jobs {
+		sortRoutes(j.GetRoutes())
 		configuration.Jobs = append(configuration.Jobs, j.Job)
 	}
 	for _, t := range c.teams {
@@ -76,6 +77,16 @@
 	return configuration
 }
 
+// sortRoutes sorts routes by prefix, and each one's methods.
+func sortRoutes(routes []*apiv1.Route) {
+	slices.SortFunc(routes, func(a, b *apiv1.Route) int {
+		return cmp.Compare(a.GetPathPrefix(), b.GetPathPrefix())
+	})
+	for _, r := range routes {
+		slices.Sort(r.GetMethods())
+	}
+}
+
 // named is a part of a configuration that has a name.
 type named interface{ GetName() string }
 
