--- a/internal/command/audit.go
+++ b/internal/command/audit.go
@@ -36,6 +36,7 @@
 	flags.StringVar(&since, "since", "", `a time as in RFC 3339, or a length of time before now such as "24h"`)
 	flags.StringVar(&job, "job", "", "only changes of this job or other object")
 	flags.Int32Var(&limit, "limit", 0, "at most this many records (0: the cell's default)")
+	_ = command.RegisterFlagCompletionFunc("job", s.completeJobFlag) // fails only for unknown flags
 	return command
 }
 
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -200,3 +200,53 @@
 		})
 	}
 }
+
+func TestDryRunShowsWhatWouldChange(t *testing.T) {
+	is := is.New(t)
+	c, address := start(t)
+	user := map[string]string{"PISTACHIO_CONTROL": address, "USER": "ana"}
+	is.Equal(run(user, "publish", examples).code, command.ExitDone)
+
+	same := run(user, "publish", examples, "--dry-run")
+	is.Equal(same.code, command.ExitDone)
+	is.True(strings.Contains(same.out, "none"))
+
+	folder := t.TempDir()
+	for _, name := range []string{"cell.toml", "plans.toml", "orders.toml"} {
+		text, err := os.ReadFile(filepath.Join(examples, name))
+		is.NoErr(err)
+		changed := strings.Replace(string(text), `name = "port-orders"`, `name = "sea-orders"`, 1)
+		changed = strings.Replace(changed, `expected_run = "50m"`, `expected_run = "55m"`, 1)
+		is.NoErr(os.WriteFile(filepath.Join(folder, name), []byte(changed), 0o600))
+	}
+	shown := run(user, "publish", folder, "--dry-run", "-o", "json")
+	is.Equal(shown.err, "")
+	var preview struct {
+		BaseRevision uint64 `json:"base_revision"`
+		Changes      []struct{ Change, What, Name string }
+	}
+	is.NoErr(json.Unmarshal([]byte(shown.out), &preview))
+	is.Equal(preview.BaseRevision, uint64(1))
+	var got []string
+	for _, change := range preview.Changes {
+		got = append(got, change.Change+" "+change.What+" "+change.Name)
+	}
+	is.Equal(got, []string{
+		"removed job delivery-confirmations", "removed job depot-rebalancing", "removed job dispatch",
+		"removed job port-orders", "added job sea-orders", "changed job weekly-plans",
+	})
+	is.Equal(c.published, 1) // nothing was published
+}
+
+func TestShellCompletesJobs(t *testing.T) {
+	is := is.New(t)
+	_, address := start(t)
+	for _, arguments := range [][]string{
+		{"__complete", "--control", address, "status", "job", "pl"},
+		{"__complete", "--control", address, "audit", "--job", "pl"},
+	} {
+		shown := run(nil, arguments...)
+		is.Equal(shown.code, command.ExitDone)
+		is.True(strings.HasPrefix(shown.out, "plans\n"))
+	}
+}
--- /dev/null
+++ b/internal/command/difference.go
@@ -0,0 +1,55 @@
+package command
+
+import (
+	"cmp"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+)
+
+// change is one difference between two configurations.
+type change struct {
+	Change string `json:"change"` // added, changed or removed
+	What   string `json:"what"`   // job, team or worker shape
+	Name   string `json:"name"`
+}
+
+// part is a named part of a configuration.
+type part interface {
+	proto.Message
+	GetName() string
+}
+
+// difference lists what publishing the next configuration would change.
+func difference(current, next *apiv1.Configuration) []change {
+	changes := differentParts("job", current.GetJobs(), next.GetJobs())
+	changes = append(changes, differentParts("team", current.GetTeams(), next.GetTeams())...)
+	return append(changes, differentParts("worker shape", current.GetShapes(), next.GetShapes())...)
+}
+
+// differentParts compares the parts of one kind and returns the changes by
+// name.
+func differentParts[T part](what string, current, next []T) []change {
+	before := map[string]T{}
+	for _, p := range current {
+		before[p.GetName()] = p
+	}
+	changes := []change{}
+	for _, p := range next {
+		old, known := before[p.GetName()]
+		delete(before, p.GetName())
+		switch {
+		case !known:
+			changes = append(changes, change{"added", what, p.GetName()})
+		case !proto.Equal(old, p):
+			changes = append(changes, change{"changed", what, p.GetName()})
+		}
+	}
+	for name := range before {
+		changes = append(changes, change{"removed", what, name})
+	}
+	slices.SortFunc(changes, func(a, b change) int { return cmp.Compare(a.Name, b.Name) })
+	return changes
+}
--- a/internal/command/publish.go
+++ b/internal/command/publish.go
@@ -23,6 +23,7 @@
 type publishOptions struct {
 	base        uint64
 	baseIsSet   bool
+	dryRun      bool
 	wait        bool
 	waitTimeout time.Duration
 }
@@ -40,6 +41,7 @@
 	}
 	flags := command.Flags()
 	flags.Uint64Var(&options.base, "base", 0, "revision that the files were made from (default: the one in force, read first)")
+	flags.BoolVar(&options.dryRun, "dry-run", false, "show what would change against the configuration in force, and change nothing")
 	flags.BoolVar(&options.wait, "wait", false, "wait until the publication is in force at every entry")
 	flags.DurationVar(&options.waitTimeout, "wait-timeout", defaultForceTimeout, "how long --wait waits")
 	return command
@@ -50,6 +52,9 @@
 	if err != nil {
 		return err
 	}
+	if options.dryRun {
+		return s.withClient(func(client *rpc.Client) error { return s.showPreview(ctx, client, configuration) })
+	}
 	operator, err := s.operatorName()
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/command/publish_preview.go
@@ -0,0 +1,36 @@
+package command
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/rpc"
+)
+
+// preview is what --dry-run shows.
+type preview struct {
+	BaseRevision uint64   `json:"base_revision"`
+	Changes      []change `json:"changes"`
+}
+
+// showPreview compares the files with what is in force and changes nothing.
+func (s *session) showPreview(ctx context.Context, client *rpc.Client, next *apiv1.Configuration) error {
+	current, err := call(ctx, s, client.Control().GetConfiguration, &apiv1.GetConfigurationRequest{})
+	if err != nil {
+		return errors.Wrap(err, "read the configuration in force")
+	}
+	p := preview{BaseRevision: current.GetRevision(), Changes: difference(current.GetConfiguration(), next)}
+	if s.output == outputJSON {
+		return writeJSON(s.environment.Out, p)
+	}
+	t := &table{header: []string{"BASE", "CHANGE", "WHAT", "NAME"}}
+	for _, c := range p.Changes {
+		t.add(p.BaseRevision, c.Change, c.What, c.Name)
+	}
+	if len(p.Changes) == 0 {
+		t.add(p.BaseRevision, "none", "", "")
+	}
+	return t.write(s.environment.Out)
+}
--- a/internal/command/status_tasks.go
+++ b/internal/command/status_tasks.go
@@ -27,6 +27,7 @@
 		return s.show(all, tasksTable(all.GetTasks()))
 	})
 	command.Flags().StringVar(&job, "job", "", "only the tasks of this job")
+	_ = command.RegisterFlagCompletionFunc("job", s.completeJobFlag) // fails only for unknown flags
 	return command
 }
 
@@ -56,9 +57,10 @@
 
 func newStatusJobCommand(s *session) *cobra.Command {
 	return &cobra.Command{
-		Use:   "job NAME",
-		Short: "Shows one job, its tasks, and why those that wait do so",
-		Args:  cobra.ExactArgs(1),
+		Use:               "job NAME",
+		Short:             "Shows one job, its tasks, and why those that wait do so",
+		Args:              cobra.ExactArgs(1),
+		ValidArgsFunction: s.completeJob,
 		RunE: func(command *cobra.Command, arguments []string) error {
 			return s.withClient(func(client *rpc.Client) error {
 				response, err := call(command.Context(), s, client.Control().GetJob, &apiv1.GetJobRequest{Name: arguments[0]})
