Logs: errors without stack traces

Failing first: TestErrorsAreLoggedWithoutStackTraces/text. Change: the handler writes an error's own text. State: go test ./internal/logging passes.

--- a/internal/logging/logger.go
+++ b/internal/logging/logger.go
@@ -15,7 +15,7 @@
 	if err := threshold.UnmarshalText([]byte(level)); err != nil {
 		return nil, errors.Newf("unknown log level %q; allowed: debug, info, warn, error", level)
 	}
-	options := &slog.HandlerOptions{Level: threshold, ReplaceAttr: redact}
+	options := &slog.HandlerOptions{Level: threshold, ReplaceAttr: replace}
 	switch format {
 	case "json":
 		return slog.New(slog.NewJSONHandler(out, options)), nil
@@ -44,11 +44,15 @@
 	"token":               true,
 }
 
-// redact guards against a secret that is logged by mistake.
-func redact(_ []string, attribute slog.Attr) slog.Attr {
+// replace guards against a secret that is logged by mistake, and writes errors
+// without the stack traces that they carry.
+func replace(_ []string, attribute slog.Attr) slog.Attr {
 	key := strings.ReplaceAll(strings.ToLower(attribute.Key), "_", "-")
 	if secretKeys[key] {
 		return slog.String(attribute.Key, redacted)
 	}
+	if err, ok := attribute.Value.Any().(error); ok {
+		return slog.String(attribute.Key, err.Error())
+	}
 	return attribute
 }
--- a/internal/logging/logger_test.go
+++ b/internal/logging/logger_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/pistachioport/pistachioport/internal/logging"
@@ -51,3 +52,18 @@
 	is.True(!strings.Contains(out.String(), "dHdvIHRhbmtlcnM")) // nor in base64
 	is.True(strings.Contains(out.String(), "/orders"))
 }
+
+func TestErrorsAreLoggedWithoutStackTraces(t *testing.T) {
+	for _, format := range []string{"json", "text"} {
+		t.Run(format, func(t *testing.T) {
+			is := is.New(t)
+			var out bytes.Buffer
+			logger, err := logging.New(&out, format, "info")
+			is.NoErr(err)
+			logger.Error("stopped", "error", errors.Wrap(errors.New("disk full"), "control role"))
+			is.True(strings.Contains(out.String(), "control role: disk full"))
+			is.True(!strings.Contains(out.String(), "stack trace"))
+			is.True(!strings.Contains(out.String(), "logger_test.go"))
+		})
+	}
+}
