--- a/test/failure/address_test.go
+++ b/test/failure/address_test.go
@@ -19,7 +19,7 @@
 
 // freeAddress returns a loopback address that nothing listens on and that no
 // other call of this run returns.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	for port := firstPort + int(nextPort.Add(1)); port < lastPort; port = firstPort + int(nextPort.Add(1)) {
 		address := fmt.Sprintf("127.0.0.1:%d", port)
--- a/test/failure/await_test.go
+++ b/test/failure/await_test.go
@@ -13,7 +13,7 @@
 )
 
 // await waits until the condition holds and fails the test otherwise.
-func await(t *testing.T, what string, condition func() bool) {
+func await(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	if !holdsWithin(patience, condition) {
 		t.Fatalf("waited %v for %s", patience, what)
@@ -22,7 +22,7 @@
 
 // neverWithin fails the test if the condition holds at some time before the
 // duration has passed.
-func neverWithin(t *testing.T, d time.Duration, what string, condition func() bool) {
+func neverWithin(t testing.TB, d time.Duration, what string, condition func() bool) {
 	t.Helper()
 	if holdsWithin(d, condition) {
 		t.Fatalf("seen within %v: %s", d, what)
--- a/test/failure/cluster_test.go
+++ b/test/failure/cluster_test.go
@@ -30,7 +30,7 @@
 
 // cluster is a set of control and entry processes.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	folder  string
 	members []*member
 	entries []*entry
@@ -57,7 +57,7 @@
 }
 
 // newCluster starts the processes and forms the cluster.
-func newCluster(t *testing.T, l layout) *cluster {
+func newCluster(t testing.TB, l layout) *cluster {
 	t.Helper()
 	c := &cluster{t: t, folder: t.TempDir()}
 	t.Cleanup(c.close)
--- a/test/failure/history_test.go
+++ b/test/failure/history_test.go
@@ -63,7 +63,7 @@
 }
 
 // check fails the test unless the history is linearizable.
-func (h *history) check(t *testing.T) {
+func (h *history) check(t testing.TB) {
 	t.Helper()
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/test/failure/links_test.go
+++ b/test/failure/links_test.go
@@ -11,13 +11,13 @@
 // links puts a relay between each pair of processes that asks for one, so that
 // a test can cut any of them.
 type links struct {
-	t *testing.T
+	t testing.TB
 
 	mu     sync.Mutex
 	relays map[string]map[string]*relay.Relay // by dialing process, then by target
 }
 
-func newLinks(t *testing.T) *links {
+func newLinks(t testing.TB) *links {
 	return &links{t: t, relays: make(map[string]map[string]*relay.Relay)}
 }
 
--- a/test/failure/operator_test.go
+++ b/test/failure/operator_test.go
@@ -27,7 +27,7 @@
 }
 
 // startOperators runs the given number of operators against the members.
-func startOperators(t *testing.T, c *cluster, count int) *operators {
+func startOperators(t testing.TB, c *cluster, count int) *operators {
 	t.Helper()
 	o := &operators{history: newHistory(), stop: make(chan struct{})}
 	addresses := c.addresses()
--- a/test/failure/process_test.go
+++ b/test/failure/process_test.go
@@ -15,7 +15,7 @@
 
 // process is one daemon under test.
 type process struct {
-	t       *testing.T
+	t       testing.TB
 	name    string
 	config  string // path of the settings file
 	logPath string
--- a/test/failure/publication_test.go
+++ b/test/failure/publication_test.go
@@ -69,7 +69,7 @@
 }
 
 // newVersions starts a cluster with entries and a first version in force.
-func newVersions(t *testing.T, l layout) *versions {
+func newVersions(t testing.TB, l layout) *versions {
 	t.Helper()
 	client := newCaller()
 	t.Cleanup(client.close)
--- a/test/failure/worker_test.go
+++ b/test/failure/worker_test.go
@@ -66,7 +66,7 @@
 
 // expectNoneTwice fails the test if a task ran in two places at once, or, if
 // once is set, was started more than once.
-func (r *tasksRun) expectNoneTwice(t *testing.T, once bool) {
+func (r *tasksRun) expectNoneTwice(t testing.TB, once bool) {
 	t.Helper()
 	r.mu.Lock()
 	defer r.mu.Unlock()
