--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -44,10 +44,12 @@
 	defaultTickInterval      = 20 * time.Millisecond
 	defaultHeartbeatInterval = 100 * time.Millisecond
 	defaultElectionTimeout   = 500 * time.Millisecond
-	defaultCallTimeout       = 400 * time.Millisecond
-	defaultSnapshotEntries   = 20_000
-	defaultSnapshotBytes     = 16 << 20
-	defaultTrailingEntries   = 5_000
+	// A heartbeat interval and a call on a silent connection must end before the
+	// shortest election timeout.
+	defaultCallTimeout     = 250 * time.Millisecond
+	defaultSnapshotEntries = 20_000
+	defaultSnapshotBytes   = 16 << 20
+	defaultTrailingEntries = 5_000
 )
 
 // Limits of one member.
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -41,7 +41,7 @@
 				return err
 			}
 		case p := <-r.proposals:
-			r.propose(p)
+			r.group = append(r.group, p)
 		case b := <-r.barriers:
 			r.reads.wait(b)
 		case request := <-r.requests:
@@ -74,11 +74,12 @@
 			return err
 		}
 	}
-	group := make([]*proposal, 0, min(len(r.proposals), maxGroup))
-	for range cap(group) {
-		group = append(group, <-r.proposals)
+	for range min(len(r.proposals), maxGroup) {
+		r.group = append(r.group, <-r.proposals)
 	}
-	r.propose(group...)
+	r.propose(r.group)
+	clear(r.group)
+	r.group = r.group[:0]
 	for range min(len(r.barriers), maxGroup) {
 		r.reads.wait(<-r.barriers)
 	}
--- a/internal/replica/proposal.go
+++ b/internal/replica/proposal.go
@@ -45,6 +45,9 @@
 	case <-r.stopped:
 		return nil, ErrNotLeader
 	}
+	if r.hasStopped() {
+		return nil, ErrNotLeader
+	}
 	p := newProposal(data)
 	select {
 	case r.proposals <- p:
@@ -56,6 +59,15 @@
 	return r.await(ctx, p)
 }
 
+func (r *Replica) hasStopped() bool {
+	select {
+	case <-r.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
 func (r *Replica) await(ctx context.Context, p *proposal) (*apiv1.CommandResult, error) {
 	select {
 	case o := <-p.done:
@@ -73,7 +85,7 @@
 }
 
 // propose appends the commands as one group.
-func (r *Replica) propose(group ...*proposal) {
+func (r *Replica) propose(group []*proposal) {
 	if len(group) == 0 {
 		return
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -30,8 +30,10 @@
 	pending     pendingProposals
 	stopped     chan struct{} // closed when Run has ended
 
-	reads      readRounds // only used by the loop
-	leaderTerm uint64     // only used by the loop; 0: this member does not lead
+	// Only used by the loop.
+	reads      readRounds
+	group      []*proposal // to be appended together
+	leaderTerm uint64      // 0: this member does not lead
 
 	mu      sync.Mutex
 	status  Status
