--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/pistachioport/pistachioport/internal/replica"
 	"github.com/pistachioport/pistachioport/internal/storage"
@@ -37,10 +38,11 @@
 func benchmarkCommit(b *testing.B, voters int, disk storage.FileSystem) {
 	c := formed(b, voters, func(config *replica.Config) { config.FileSystem = disk })
 	c.write("warm up")
-	leader := c.leader().replica
+	leading := c.leader()
+	leader := leading.replica
 	command := note(strings.Repeat("x", benchCommandBytes))
 	latencies := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
-	var mu sync.Mutex
+	var mu sync.Mutex // of latencies
 	var left atomic.Int64
 	left.Store(int64(b.N))
 	var proposers sync.WaitGroup
@@ -66,6 +68,9 @@
 	b.ReportMetric(float64(b.N)/elapsed.Seconds(), "commits/s")
 	b.ReportMetric(float64(latencies.ValueAtQuantile(50))/1000, "p50-ms")
 	b.ReportMetric(float64(latencies.ValueAtQuantile(99))/1000, "p99-ms")
+	syncs := metrics.GetOrRegisterTimer("replica.sync", leading.config.Metrics)
+	b.ReportMetric(syncs.Percentile(0.5)/float64(time.Millisecond), "sync-p50-ms")
+	b.ReportMetric(syncs.Percentile(0.99)/float64(time.Millisecond), "sync-p99-ms")
 	b.ReportMetric(0, "ns/op")
 }
 
