placement: a new leader waits until it is confirmed; Run returns nil when its term ends

Cause: a duty whose first read-index round failed ended with an error, and so placed nothing for the whole term. Seen failing first: TestANewLeaderThatIsNotYetConfirmedWaits (30 s without a renewal). Change: the round is tried again until the term ends; Duty.Run and the fake worker's Run return nil once their context has ended. After: passes with -race.

--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -48,7 +48,8 @@
 	return w.options.Boot
 }
 
-// Run serves until ctx ends; then it stops its tasks and reports them.
+// Run serves until ctx ends; then it stops its tasks, reports them and returns
+// nil.
 func (w *Worker) Run(ctx context.Context) error {
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return w.renewals(groupCtx) })
@@ -59,6 +60,9 @@
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastReportTimeout)
 	defer cancel()
 	_, _ = w.options.Platform.Renew(last, w.request(0)) // if it is lost, the lease runs out
+	if ctx.Err() != nil {
+		return nil
+	}
 	return err
 }
 
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -14,7 +14,7 @@
 // decide runs rounds of decisions until ctx ends: at each change of the table,
 // and when something becomes due.
 func (t *term) decide(ctx context.Context) error {
-	if err := t.barrier.wait(ctx); err != nil {
+	if err := t.catchUp(ctx); err != nil {
 		return err
 	}
 	afresh := true
@@ -33,6 +33,17 @@
 	}
 }
 
+// catchUp waits until the table holds all that earlier leaders committed.
+func (t *term) catchUp(ctx context.Context) error {
+	for t.barrier.wait(ctx) != nil {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		t.pause(ctx)
+	}
+	return nil
+}
+
 // round takes over the table's changes, or all of it, and decides.
 func (t *term) round(afresh bool) *scheduler.Decision {
 	changes := t.config.Tasks.Drain
--- a/internal/placement/duty.go
+++ b/internal/placement/duty.go
@@ -30,17 +30,21 @@
 
 // Run places tasks until ctx ends, which it must when this process no longer
 // leads. Each call is a new term: leases that an earlier leader granted are
-// waited out.
+// waited out. It returns nil once ctx has ended.
 func (d *Duty) Run(ctx context.Context) error {
 	t := newTerm(d.config, d.counts)
-	group, ctx := errgroup.WithContext(ctx)
-	t.begin(ctx)
+	group, groupCtx := errgroup.WithContext(ctx)
+	t.begin(groupCtx)
 	d.term.Store(t)
 	defer d.term.CompareAndSwap(t, nil)
-	group.Go(func() error { return t.commits.run(ctx) })
-	group.Go(func() error { return t.decide(ctx) })
-	group.Go(func() error { return t.expire(ctx) })
-	return group.Wait()
+	group.Go(func() error { return t.commits.run(groupCtx) })
+	group.Go(func() error { return t.decide(groupCtx) })
+	group.Go(func() error { return t.expire(groupCtx) })
+	err := group.Wait()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
 }
 
 // Renew serves workers. Outside leadership it refers them to the leader.
--- a/internal/placement/duty_test.go
+++ b/internal/placement/duty_test.go
@@ -56,7 +56,9 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = f(ctx)
+		if err := f(ctx); err != nil {
+			c.t.Errorf("run ends with %v", err)
+		}
 	}()
 	end = func() {
 		cancel()
--- a/internal/placement/failure_test.go
+++ b/internal/placement/failure_test.go
@@ -349,3 +349,15 @@
 	is.Equal(response.GetOrders()[0].GetAttempt().GetId(), "runs")
 	is.Equal(response.GetAcknowledged(), []string{"ended"})
 }
+
+func TestANewLeaderThatIsNotYetConfirmedWaits(t *testing.T) {
+	c := newCell(t)
+	c.log.leads.Store(false)
+	c.lead()
+	w, _ := c.linked("w1", nil)
+	c.start(w.Run)
+	c.publish(job("dispatch", apiv1.JobKind_JOB_KIND_SERVICE, 1, "serve"))
+	c.settle()
+	c.log.leads.Store(true)
+	c.awaitState("dispatch", 0, apiv1.TaskState_TASK_STATE_RUNNING)
+}
