--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -180,8 +180,6 @@
 	for id, t := range w.tasks {
 		request.Reports = append(request.Reports, &apiv1.AttemptReport{
 			Attempt:      id,
-			Worker:       w.options.Name,
-			Boot:         w.options.Boot,
 			Phase:        t.phase,
 			Detail:       t.detail,
 			Checkpointed: t.checkpoint && t.ended(),
