placement: a plan that was not committed is decided again at once

Cause: after a failed or refused proposal the loop slept until the table changed, though the cell had to be filled afresh; with nothing else going on the task waited for good. Seen failing first: TestAPlanThatWasNeverCommittedIsMadeAgain (30 s, task still waiting). After: passes with -race in 1.1 s. Ruled out: relying on the wake-up left over from earlier changes; a first form of the test passed by that chance.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -24,7 +24,7 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if d.More {
+		if d.More || afresh {
 			continue
 		}
 		if err := t.sleep(ctx, d.Next); err != nil {
--- a/internal/placement/failure_test.go
+++ b/internal/placement/failure_test.go
@@ -361,3 +361,25 @@
 	c.log.leads.Store(true)
 	c.awaitState("dispatch", 0, apiv1.TaskState_TASK_STATE_RUNNING)
 }
+
+func TestAPlanThatWasNeverCommittedIsMadeAgain(t *testing.T) {
+	c := newCell(t)
+	fails := 3
+	c.log.refuse = func(command *apiv1.PlacementCommand) error {
+		if len(command.GetPlans()) == 0 || fails == 0 {
+			return nil
+		}
+		fails--
+		return replica.ErrUnknownFate
+	}
+	c.lead()
+	w, _ := c.linked("w1", nil)
+	c.start(w.Run)
+	c.until("worker", func() bool { return len(c.table.AliveBoots()) == 1 })
+	late := job("dispatch", apiv1.JobKind_JOB_KIND_SERVICE, 1, "serve")
+	late.ReleaseUnixMs = c.clock.Read().Time().UnixMilli() + 1000
+	c.publish(late)
+	c.settle() // nothing else wakes the leader from here on
+	c.clock.Advance(time.Second)
+	c.awaitState("dispatch", 0, apiv1.TaskState_TASK_STATE_RUNNING)
+}
