--- a/internal/state/tasks/plan.go
+++ b/internal/state/tasks/plan.go
@@ -111,7 +111,7 @@
 	}
 	taken := sums.workers[w.name].Plus(resources.Of(m.GetResources()))
 	if !w.used.Plus(taken).FitsIn(w.capacity) {
-		return refused(RefusedCapacity, "worker %q holds %+v of %+v", w.name, w.used, w.capacity)
+		return refused(RefusedCapacity, "worker %q holds %s of %s", w.name, describe(w.used), describe(w.capacity))
 	}
 	sums.workers[w.name] = taken
 	return nil
@@ -142,7 +142,7 @@
 	taken := sums.teams[name].Plus(resources.Of(m.GetResources()))
 	account := t.team(name)
 	if !account.admits(taken) {
-		return refused(RefusedQuota, "team %q uses %+v of %+v", name, account.own, account.quota)
+		return refused(RefusedQuota, "team %q uses %s of %s", name, describe(account.own), describe(account.quota))
 	}
 	sums.teams[name] = taken
 	return nil
