Failure test: more entries than an endpoint has slots

Seen failing: with 12 entries and one endpoint of 8 slots, an entry without slots reports its first waiting request only at its next renewal, up to 1 s later; requests with a deadline of 1 s or 2 s run out (waited 1m0s for entry-1).

--- a/test/failure/cluster_test.go
+++ b/test/failure/cluster_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
@@ -35,6 +36,8 @@
 	members []*member
 	entries []*entry
 	client  *rpc.Client
+
+	endpoints atomic.Int32 // started so far
 }
 
 // layout says what to start.
--- a/test/failure/request_test.go
+++ b/test/failure/request_test.go
@@ -76,6 +76,31 @@
 	}
 }
 
+func TestOneEndpointServesMoreEntriesThanItHasSlots(t *testing.T) {
+	const entries = 12 // the endpoint has 8 slots
+	is := is.New(t)
+	c := newCluster(t, layout{voters: 3, entries: entries})
+	c.publish(dispatchConfiguration())
+	backend := c.startEndpoint("domain-1", endpoint.Behaviour{})
+	client := newCaller()
+	defer client.close()
+	c.serveService(client)
+	for round := range 5 {
+		var sent sync.WaitGroup
+		for n, e := range c.entries {
+			sent.Go(func() {
+				key := fmt.Sprintf("order-%d-%d", round, n)
+				r := client.send(e.callers, http.MethodPost, ordersPath, key, key, loadDeadline)
+				if !r.done() {
+					t.Errorf("%s answered %s with status %d, outcome %q: %s", e.name, key, r.status, r.outcome, r.body)
+				}
+			})
+		}
+		sent.Wait()
+	}
+	is.True(backend.Record().PeakInFlight <= 8) // the slots hold over all entries together
+}
+
 func TestWithdrawalWhileAnEntryIsCutOff(t *testing.T) {
 	is := is.New(t)
 	links := newLinks(t)
