Waiting claims hold no slots; keyed idempotent requests are told not-run

Cause: an order held its slot while its claim was committed. While control was away, orders took every slot and idempotent work was refused. And a request with a key on an idempotent route was told unknown by an entry without a lease, although such keys are never claimed. Ruled out: a claim before the queue, which costs two commits for each request that is shed. Change: a claim that takes longer than 250 ms gives the slot back and waits for one again before the send; the abort covers a request that gets none.

--- a/internal/entry/control_test.go
+++ b/internal/entry/control_test.go
@@ -37,6 +37,7 @@
 	loseTakes int                          // answers to takes that are lost after they were applied
 	onTake    func()                       // called before a take is answered
 	renewDown bool                         // answers no renewal
+	refused   int                          // claim changes while down
 }
 
 func newControl(t testing.TB, config *apiv1.Configuration) *control {
@@ -112,6 +113,13 @@
 	c.loseTakes = count
 }
 
+// refusedTakes returns how many claim changes came while control was down.
+func (c *control) refusedTakes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refused
+}
+
 func (c *control) isDown() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -183,6 +191,9 @@
 // Change implements apiv1.Claims.
 func (c claimsServer) Change(_ context.Context, batch *apiv1.ClaimBatch) (*apiv1.ClaimBatchResult, error) {
 	if c.isDown() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.refused++
 		return nil, errDown
 	}
 	result := c.table.Apply(time.Now().UnixMilli(), batch)
--- a/internal/entry/non_idempotent.go
+++ b/internal/entry/non_idempotent.go
@@ -96,26 +96,65 @@
 	return slot, false, nil
 }
 
-// claimAndSend commits the claim while holding the slot, then sends.
+// claimAndSend commits the claim while holding the slot, then sends. A slot that
+// was given up because the claim took long is waited for again.
 func (s *Server) claimAndSend(c *call, k *claim, w *waiter, slot *balance.Slot, b *body) *problem {
 	ctx, cancel := context.WithDeadline(s.background, c.deadline)
 	defer cancel()
-	result, err := s.takeInTime(ctx, c, k)
+	slot, result, err := s.takeHolding(ctx, c, k, w, slot)
 	if err != nil {
-		c.service.release(w, slot, 0, balance.Result{Unused: true})
+		s.giveBack(c, w, slot)
 		return s.abandon(c, k, notRun(http.StatusServiceUnavailable, codeControl, "the claim could not be committed before the deadline"))
 	}
 	if !result.GetWon() {
-		c.service.release(w, slot, 0, balance.Result{Unused: true})
+		s.giveBack(c, w, slot)
 		return s.answerRefusedTake(c, k, result)
 	}
+	if slot == nil {
+		var refusal *problem
+		if slot, refusal = c.service.acquire(ctx, w); refusal != nil {
+			return s.abandon(c, k, refusal)
+		}
+	}
 	if reason := s.mayNotSend(c); reason != nil {
-		c.service.release(w, slot, 0, balance.Result{Unused: true})
+		s.giveBack(c, w, slot)
 		return s.abandon(c, k, reason)
 	}
 	return s.sendOnce(ctx, c, k, w, slot, b)
 }
 
+// claimHold is how long a request holds its slot while its claim is committed.
+// Past it, control is slow or away, and others can use the slot.
+const claimHold = 250 * time.Millisecond
+
+// takeHolding takes the claim. It returns no slot if it gave the slot back.
+func (s *Server) takeHolding(ctx context.Context, c *call, k *claim, w *waiter, slot *balance.Slot) (*balance.Slot, *apiv1.ClaimResult, error) {
+	hold := time.NewTimer(claimHold)
+	defer hold.Stop()
+	taken := make(chan struct{})
+	var result *apiv1.ClaimResult
+	var err error
+	go func() {
+		defer close(taken)
+		result, err = s.takeInTime(ctx, c, k)
+	}()
+	select {
+	case <-taken:
+	case <-hold.C:
+		s.giveBack(c, w, slot)
+		slot = nil
+		<-taken
+	}
+	return slot, result, err
+}
+
+// giveBack releases a slot, if there is one, over which nothing was sent.
+func (s *Server) giveBack(c *call, w *waiter, slot *balance.Slot) {
+	if slot != nil {
+		c.service.release(w, slot, 0, balance.Result{Unused: true})
+	}
+}
+
 // takeInTime takes the claim, leaving a part of the time for its abort.
 func (s *Server) takeInTime(ctx context.Context, c *call, k *claim) (*apiv1.ClaimResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.left()*3/4)
@@ -185,7 +224,7 @@
 		return nil
 	}
 	if s.mayNotSend(c) != nil {
-		c.service.release(w, slot, 0, balance.Result{Unused: true})
+		s.giveBack(c, w, slot)
 		return nil
 	}
 	return slot
--- a/internal/entry/resend.go
+++ b/internal/entry/resend.go
@@ -109,7 +109,7 @@
 // itself was not sent, but an earlier one with the key may have been, so that
 // "not run" is said only if control knows nothing of the key.
 func (s *Server) unverified(c *call, refusal *problem) *problem {
-	if c.key == "" || refusal.outcome != apiv1.Outcome_OUTCOME_NOT_RUN {
+	if c.key == "" || refusal.outcome != apiv1.Outcome_OUTCOME_NOT_RUN || s.isIdempotent(c) {
 		return refusal
 	}
 	if s.keyIsFree(c.key) {
@@ -120,6 +120,13 @@
 	return &corrected
 }
 
+// isIdempotent reports whether the request's route, as last known, is
+// idempotent: its keys are never claimed.
+func (s *Server) isIdempotent(c *call) bool {
+	found, ok := s.view.Load().routes.find(c.r.URL.Path)
+	return ok && !found.GetNonIdempotent()
+}
+
 // keyIsFree reports whether control knows for certain that no request with the
 // key was sent. It asks for a bounded number of keys at once.
 func (s *Server) keyIsFree(key string) bool {
