Measure the slopes of state, messages and processor time

Cause: the capacity page needs figures that a committed command gives. The cell, the scheduler and the Twirp handlers run in one process. Ruled out: wall time, which a shared machine distorts; processor time of the process is counted, the median of five trials.

--- /dev/null
+++ b/test/slopes/apply_bench_test.go
@@ -0,0 +1,109 @@
+package slopes_test
+
+import (
+	"testing"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+)
+
+var batches = []int{1, 8, 64, 256}
+
+// BenchmarkApply prints the processor time of applying a command by its size.
+func BenchmarkApply(b *testing.B) {
+	c := newCell(b)
+	next := 0
+	measure("apply take + settle", "µs", "claim in the batch", batches, func(size int) float64 {
+		return microseconds(b, 20, func(watch *stopwatch) {
+			take, settle := takes(next, size), settles(next, size)
+			next += size
+			watch.start()
+			c.apply(take)
+			c.apply(settle)
+			watch.stop()
+		})
+	})
+	measure("apply publication, one job changed", "µs", "job", []int{600, 1200, 2400}, applyPublication(b))
+	measure("apply plans + running + end", "µs", "task in the batch", batches, applyPlacement(b))
+	measure("apply announcement", "µs", "endpoint in the batch", batches, func(size int) float64 {
+		c := newCell(b)
+		return microseconds(b, 20, func(watch *stopwatch) {
+			command := announcement(0, size)
+			for _, e := range command.GetEndpoint().GetAnnounce() {
+				e.Slots += int32(c.index % 2)
+			}
+			watch.start()
+			c.apply(command)
+			watch.stop()
+		})
+	})
+}
+
+func applyPublication(b *testing.B) func(size int) float64 {
+	return func(size int) float64 {
+		c := newCell(b)
+		return microseconds(b, 5, func(watch *stopwatch) {
+			published := configuration(size)
+			published.Jobs[0].ExpectedRunMs += int64(c.index)
+			watch.start()
+			c.publish(published)
+			watch.stop()
+		})
+	}
+}
+
+// applyPlacement starts and ends tasks beside 4,000 running ones.
+func applyPlacement(b *testing.B) func(size int) float64 {
+	const turns = 20
+	return func(size int) float64 {
+		c := newCell(b)
+		runTasks(c, statedTasks)
+		configured, _ := c.store.Configuration()
+		configured.Jobs = append(configured.Jobs, job("turn", team(0), size*turns*trials))
+		c.publish(configured)
+		next := 0
+		return microseconds(b, turns, func(watch *stopwatch) {
+			plans, running, ended := startAndEnd(next, size)
+			next += size
+			watch.start()
+			c.placeBatch(plans)
+			c.apply(placement(&apiv1.PlacementCommand{Reports: running}))
+			c.apply(placement(&apiv1.PlacementCommand{Reports: ended}))
+			c.table().Drain()
+			watch.stop()
+		})
+	}
+}
+
+func startAndEnd(first, count int) (plans []*apiv1.GangPlan, running, ended []*apiv1.AttemptReport) {
+	for i := first; i < first+count; i++ {
+		on, id := i%statedWorker, attemptID("turn", i, 1)
+		plans = append(plans, plan("turn", i, on, 1))
+		running = append(running, report(id, on, apiv1.AttemptReport_PHASE_RUNNING))
+		ended = append(ended, report(id, on, apiv1.AttemptReport_PHASE_SUCCEEDED))
+	}
+	return plans, running, ended
+}
+
+// BenchmarkLog prints the bytes that commands take in the log by their size.
+func BenchmarkLog(b *testing.B) {
+	type rowOf struct {
+		name, per string
+		sizes     []int
+		command   func(size int) *apiv1.Command
+	}
+	for _, row := range []rowOf{
+		{"log, take", "claim in the batch", batches, func(n int) *apiv1.Command { return takes(0, n) }},
+		{"log, settle with 256-byte answer", "claim in the batch", batches, func(n int) *apiv1.Command { return settles(0, n) }},
+		{"log, plans", "task in the batch", batches, func(n int) *apiv1.Command {
+			return placement(&apiv1.PlacementCommand{Plans: decidedPlans(b, n)})
+		}},
+		{"log, reports", "report in the batch", batches, func(n int) *apiv1.Command {
+			_, running, _ := startAndEnd(0, n)
+			return placement(&apiv1.PlacementCommand{Reports: running})
+		}},
+		{"log, publication", "job", []int{600, 1200, 2400}, func(n int) *apiv1.Command { return publication(1, configuration(n)) }},
+		{"log, announcement", "endpoint in the batch", batches, func(n int) *apiv1.Command { return announcement(0, n) }},
+	} {
+		measure(row.name, "B", row.per, row.sizes, func(size int) float64 { return logBytes(b, row.command(size)) })
+	}
+}
--- /dev/null
+++ b/test/slopes/build_test.go
@@ -0,0 +1,223 @@
+package slopes_test
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/state"
+	"github.com/pistachioport/pistachioport/internal/state/claims"
+	"github.com/pistachioport/pistachioport/internal/state/tasks"
+)
+
+const (
+	begin        = int64(1_700_000_000_000) // Unix milliseconds
+	gib          = int64(1) << 30           // bytes
+	answerBytes  = 256                      // of a kept answer's body
+	statedJobs   = 2400
+	statedTasks  = 4000
+	statedWorker = 550
+	statedTeams  = 42
+)
+
+// cell builds a store as a control process has it and applies commands to it.
+type cell struct {
+	b     *testing.B
+	store *state.Store
+	index uint64
+}
+
+func newCell(b *testing.B) *cell {
+	return &cell{b: b, store: state.New(state.Options{Claims: claims.New(claims.Options{}), Tasks: tasks.New()})}
+}
+
+func (c *cell) apply(command *apiv1.Command) *apiv1.CommandResult {
+	c.index++
+	command.LeaderUnixMs = begin
+	result := c.store.Apply(c.index, command)
+	if result.GetRefusal() != "" {
+		c.b.Fatalf("command %d is refused: %s", c.index, result.GetRefusal())
+	}
+	return result
+}
+
+func (c *cell) table() *tasks.Table { return c.store.Tasks().(*tasks.Table) }
+
+func (c *cell) publish(configuration *apiv1.Configuration) {
+	result := c.apply(publication(c.store.ConfigurationRevision(), configuration))
+	if status := result.GetPublish().GetStatus(); status != apiv1.PublishResult_STATUS_APPLIED {
+		c.b.Fatalf("the publication's status is %s", status)
+	}
+}
+
+func (c *cell) register(workers int) {
+	for i := range workers {
+		c.apply(placement(&apiv1.PlacementCommand{Register: []*apiv1.Worker{worker(i)}}))
+	}
+}
+
+// place runs the given number of tasks of one job, as an array of its own.
+func (c *cell) place(job string, count, workers int) {
+	for i := range count {
+		c.placeBatch([]*apiv1.GangPlan{plan(job, i, i%workers, 1)})
+	}
+}
+
+func (c *cell) placeBatch(plans []*apiv1.GangPlan) {
+	result := c.apply(placement(&apiv1.PlacementCommand{Plans: plans}))
+	for _, verdict := range result.GetPlacement().GetVerdicts() {
+		if verdict.GetRefusal() != "" {
+			c.b.Fatalf("a plan is refused: %s: %s", verdict.GetRefusal(), verdict.GetDetail())
+		}
+	}
+}
+
+func (c *cell) snapshotBytes() float64 {
+	snapshot, err := c.store.Snapshot()
+	if err != nil {
+		c.b.Fatal(err)
+	}
+	return float64(len(snapshot))
+}
+
+func worker(i int) *apiv1.Worker {
+	return &apiv1.Worker{
+		Name:     workerName(i),
+		Boot:     "5f1b9c3a7d2e4f60",
+		Location: location(i),
+		Capacity: &apiv1.Resources{CpuMillis: 64_000, MemoryBytes: 256 * gib},
+	}
+}
+
+func workerName(i int) string { return fmt.Sprintf("worker-%04d", i) }
+
+func location(i int) *apiv1.Location {
+	domain := i % 6
+	return &apiv1.Location{
+		Region:        fmt.Sprintf("region-%d", domain%3),
+		FailureDomain: fmt.Sprintf("domain-%d", domain),
+		Rack:          fmt.Sprintf("rack-%03d", i/8),
+	}
+}
+
+// configuration has jobs of two tasks each, as most batch work has few.
+func configuration(jobs int) *apiv1.Configuration {
+	c := &apiv1.Configuration{}
+	for i := range statedTeams {
+		c.Teams = append(c.Teams, &apiv1.Team{Name: team(i)})
+	}
+	for i := range jobs {
+		c.Jobs = append(c.Jobs, job(fmt.Sprintf("job-%05d", i), team(i%statedTeams), 2))
+	}
+	return c
+}
+
+func team(i int) string { return fmt.Sprintf("team-%02d", i) }
+
+func job(name, team string, count int) *apiv1.Job {
+	return &apiv1.Job{
+		Name:          name,
+		Team:          team,
+		Kind:          apiv1.JobKind_JOB_KIND_BATCH,
+		Class:         apiv1.Class_CLASS_NORMAL,
+		Count:         int32(count),
+		Resources:     amount(),
+		ExpectedRunMs: 30_000,
+		Command:       "run /opt/work/job --with --some --arguments",
+		Source:        team + "/jobs/" + name + ".toml",
+	}
+}
+
+func amount() *apiv1.Resources { return &apiv1.Resources{CpuMillis: 1000, MemoryBytes: gib} }
+
+func plan(job string, index, onWorker, serial int) *apiv1.GangPlan {
+	return &apiv1.GangPlan{Attempts: []*apiv1.Attempt{{
+		Id:        attemptID(job, index, serial),
+		Job:       job,
+		Index:     int32(index),
+		Worker:    workerName(onWorker),
+		Boot:      worker(onWorker).GetBoot(),
+		Resources: amount(),
+	}}}
+}
+
+func attemptID(job string, index, serial int) string {
+	return fmt.Sprintf("%s/%d/1.%d", job, index, serial)
+}
+
+func report(id string, onWorker int, phase apiv1.AttemptReport_Phase) *apiv1.AttemptReport {
+	return &apiv1.AttemptReport{Attempt: id, Worker: workerName(onWorker), Boot: worker(onWorker).GetBoot(), Phase: phase}
+}
+
+func endpoint(i int) *apiv1.Endpoint {
+	return &apiv1.Endpoint{
+		Id:          endpointID(i),
+		Service:     fmt.Sprintf("service-%02d", i%40),
+		Address:     fmt.Sprintf("10.0.%d.%d:9000", i/250, i%250),
+		Location:    location(i),
+		Slots:       16,
+		Connections: 64,
+	}
+}
+
+func endpointID(i int) string { return fmt.Sprintf("endpoint-%05d", i) }
+
+func endpoints(first, count int) []*apiv1.Endpoint {
+	all := make([]*apiv1.Endpoint, 0, count)
+	for i := range count {
+		all = append(all, endpoint(first+i))
+	}
+	return all
+}
+
+func claimKey(i int) string { return fmt.Sprintf("order-%08d-5f1b9c3a", i) }
+
+func takes(first, count int) *apiv1.Command {
+	batch := &apiv1.ClaimBatch{}
+	for i := first; i < first+count; i++ {
+		batch.Changes = append(batch.Changes, &apiv1.ClaimChange{Key: claimKey(i), Change: &apiv1.ClaimChange_Take{Take: &apiv1.ClaimTake{
+			RequestDigest: make([]byte, 32), Entry: "entry-03-5f1b9c3a7d2e4f60", Service: "service-07",
+			DeadlineUnixMs: begin + 30_000, Attempt: "7d2e4f605f1b9c3a",
+		}}})
+	}
+	return &apiv1.Command{LeaderUnixMs: begin, Body: &apiv1.Command_Claims{Claims: batch}}
+}
+
+func settles(first, count int) *apiv1.Command {
+	batch := &apiv1.ClaimBatch{}
+	for i := first; i < first+count; i++ {
+		answer := &apiv1.KeptAnswer{Status: 200, Body: make([]byte, answerBytes)}
+		batch.Changes = append(batch.Changes, &apiv1.ClaimChange{Key: claimKey(i), Change: &apiv1.ClaimChange_Settle{Settle: &apiv1.ClaimSettle{
+			Entry: "entry-03-5f1b9c3a7d2e4f60", Outcome: apiv1.Outcome_OUTCOME_DONE, Answer: answer, Attempt: "7d2e4f605f1b9c3a",
+		}}})
+	}
+	return &apiv1.Command{LeaderUnixMs: begin, Body: &apiv1.Command_Claims{Claims: batch}}
+}
+
+func publication(base uint64, c *apiv1.Configuration) *apiv1.Command {
+	return &apiv1.Command{LeaderUnixMs: begin, Body: &apiv1.Command_Publish{Publish: &apiv1.PublishCommand{
+		BaseRevision: base, Operator: "ana", Configuration: c,
+	}}}
+}
+
+func placement(command *apiv1.PlacementCommand) *apiv1.Command {
+	return &apiv1.Command{LeaderUnixMs: begin, Body: &apiv1.Command_Placement{Placement: command}}
+}
+
+func announcement(first, count int) *apiv1.Command {
+	return &apiv1.Command{LeaderUnixMs: begin, Body: &apiv1.Command_Endpoint{Endpoint: &apiv1.EndpointCommand{
+		Announce: endpoints(first, count),
+	}}}
+}
+
+// logBytes returns what a command takes in the log's file.
+func logBytes(b *testing.B, command *apiv1.Command) float64 {
+	const recordHeader = 13 // bytes, see internal/storage
+	data, err := proto.Marshal(command)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return float64(recordHeader + proto.Size(&apiv1.LogEntry{Term: 12, Index: 10_000_000, Data: data}))
+}
--- /dev/null
+++ b/test/slopes/state_bench_test.go
@@ -0,0 +1,73 @@
+package slopes_test
+
+import (
+	"runtime"
+	"testing"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+)
+
+// BenchmarkState prints the bytes of a snapshot and of the heap, and the
+// processor time of a snapshot, by the number of objects.
+func BenchmarkState(b *testing.B) {
+	for _, kind := range []struct {
+		name  string
+		sizes []int
+		build func(c *cell, size int)
+	}{
+		{"job of 2 tasks", []int{600, 1200, 2400}, func(c *cell, size int) { c.publish(configuration(size)) }},
+		{"endpoint", []int{400, 800, 1600}, announceAll},
+		{"running task", []int{1000, 2000, 4000}, runTasks},
+		{"worker", []int{140, 275, 550}, func(c *cell, size int) { c.register(size) }},
+		{"kept claim, 256-byte answer", []int{10_000, 20_000, 40_000}, keepClaims},
+	} {
+		snapshots, times := map[int]float64{}, map[int]float64{}
+		measure("heap", "B", kind.name, kind.sizes, func(size int) float64 {
+			c, bytes := heap(func() *cell {
+				c := newCell(b)
+				kind.build(c, size)
+				return c
+			})
+			snapshots[size] = c.snapshotBytes()
+			times[size] = microseconds(b, 3, func(watch *stopwatch) {
+				watch.start()
+				c.snapshotBytes()
+				watch.stop()
+			})
+			runtime.KeepAlive(c)
+			return bytes
+		})
+		measure("snapshot", "B", kind.name, kind.sizes, func(size int) float64 { return snapshots[size] })
+		measure("snapshot, processor", "µs", kind.name, kind.sizes, func(size int) float64 { return times[size] })
+	}
+}
+
+func announceAll(c *cell, size int) {
+	for i := range size {
+		c.apply(announcement(i, 1))
+	}
+}
+
+func runTasks(c *cell, size int) {
+	const jobs = 20
+	configured := &apiv1.Configuration{Teams: []*apiv1.Team{{Name: team(0)}}}
+	for i := range jobs {
+		configured.Jobs = append(configured.Jobs, job(jobName(i), team(0), size/jobs))
+	}
+	c.publish(configured)
+	c.register(statedWorker)
+	for i := range jobs {
+		c.place(jobName(i), size/jobs, statedWorker)
+	}
+	c.table().DrainAll()
+}
+
+func jobName(i int) string { return configuration(i + 1).GetJobs()[i].GetName() }
+
+func keepClaims(c *cell, size int) {
+	const batch = 500
+	for first := 0; first < size; first += batch {
+		c.apply(takes(first, batch))
+		c.apply(settles(first, batch))
+	}
+}
--- /dev/null
+++ b/test/slopes/usage_test.go
@@ -0,0 +1,66 @@
+package slopes_test
+
+import (
+	"runtime"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	trials     = 5 // of a processor time, of which the median is taken
+	microsPerS = 1e6
+)
+
+// processorTime returns what this process has used so far.
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// stopwatch adds up the processor time between start and stop.
+type stopwatch struct {
+	b     *testing.B
+	began time.Duration
+	total time.Duration
+}
+
+func (s *stopwatch) start() { s.began = processorTime(s.b) }
+func (s *stopwatch) stop()  { s.total += processorTime(s.b) - s.began }
+
+// microseconds returns the median over trials of the processor time of one
+// call, in microseconds. Each trial calls work the given number of times; work
+// starts and stops the watch around what counts.
+func microseconds(b *testing.B, calls int, work func(watch *stopwatch)) float64 {
+	var all []float64
+	for range trials {
+		runtime.GC()
+		watch := &stopwatch{b: b}
+		for range calls {
+			work(watch)
+		}
+		all = append(all, watch.total.Seconds()*microsPerS/float64(calls))
+	}
+	slices.Sort(all)
+	return all[len(all)/2]
+}
+
+// heap returns the bytes that what build returns holds on to.
+func heap[T any](build func() T) (built T, bytes float64) {
+	before := heapInUse()
+	built = build()
+	after := heapInUse()
+	return built, float64(after) - float64(before)
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- /dev/null
+++ b/test/slopes/wire_bench_test.go
@@ -0,0 +1,229 @@
+package slopes_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+)
+
+const (
+	wireCalls = 20  // whose bytes are counted, after the first one of a connection
+	timeCalls = 200 // of each trial of their processor time
+)
+
+// cost is what one call takes.
+type cost struct {
+	bytes  float64 // on the wire, both directions with the headers of HTTP
+	micros float64 // of processor time, of both sides together
+}
+
+// answers serves each service with prepared responses.
+type answers struct {
+	entry  *apiv1.RenewEntryResponse
+	worker *apiv1.RenewWorkerResponse
+}
+
+type entryAnswers struct{ *answers }
+
+func (a entryAnswers) Renew(context.Context, *apiv1.RenewEntryRequest) (*apiv1.RenewEntryResponse, error) {
+	return a.entry, nil
+}
+
+type workerAnswers struct{ *answers }
+
+func (a workerAnswers) Renew(context.Context, *apiv1.RenewWorkerRequest) (*apiv1.RenewWorkerResponse, error) {
+	return a.worker, nil
+}
+
+type discoveryAnswers struct{ apiv1.Discovery }
+
+func (discoveryAnswers) Renew(context.Context, *apiv1.RenewEndpointRequest) (*apiv1.RenewEndpointResponse, error) {
+	return &apiv1.RenewEndpointResponse{Known: true, LeaseMs: 6000}, nil
+}
+
+type peerAnswers struct{ apiv1.Peer }
+
+func (peerAnswers) Step(context.Context, *apiv1.StepRequest) (*apiv1.StepResponse, error) {
+	return &apiv1.StepResponse{}, nil
+}
+
+// countedConnection counts the bytes of both directions.
+type countedConnection struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countedConnection) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConnection) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// callCost returns the cost of one call over a connection that is kept.
+func callCost(b *testing.B, handler http.Handler, call func(url string, client *http.Client) error) cost {
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	var bytes atomic.Int64
+	transport := &http.Transport{
+		DisableCompression: true,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			connection, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			return &countedConnection{Conn: connection, bytes: &bytes}, err
+		},
+	}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	for i := range wireCalls + 1 {
+		if i == 1 {
+			bytes.Store(0)
+		}
+		if err := call(server.URL, client); err != nil {
+			b.Fatal(err)
+		}
+	}
+	counted := float64(bytes.Load()) / wireCalls
+	micros := microseconds(b, timeCalls, func(watch *stopwatch) {
+		watch.start()
+		err := call(server.URL, client)
+		watch.stop()
+		if err != nil {
+			b.Fatal(err)
+		}
+	})
+	return cost{bytes: counted, micros: micros}
+}
+
+// measureCalls prints the lines of a call's bytes and of its processor time.
+func measureCalls(name, per string, sizes []int, call func(size int) cost) {
+	micros := map[int]float64{}
+	measure(name, "B", per, sizes, func(size int) float64 {
+		c := call(size)
+		micros[size] = c.micros
+		return c.bytes
+	})
+	measure(name+", processor of both sides", "µs", per, sizes, func(size int) float64 { return micros[size] })
+}
+
+// BenchmarkWire prints the cost of idle renewals and of the log's messages.
+func BenchmarkWire(b *testing.B) {
+	held := []int{0, 200, 800}
+	measureCalls("entry renewal, holds by tag", "endpoint held", held, func(int) cost {
+		return entryCall(b, entryRequest(), &apiv1.RenewEntryResponse{GrantsTag: 1 << 40, GrantsUnchanged: true})
+	})
+	measureCalls("entry renewal, holds in full", "endpoint held", held, func(size int) cost {
+		request := entryRequest()
+		request.HoldsTag, request.Holds = 0, holds(size)
+		return entryCall(b, request, &apiv1.RenewEntryResponse{GrantsTag: 1 << 40, Grants: holds(size)})
+	})
+	measureCalls("entry renewal, new session", "endpoint known", held, func(size int) cost {
+		request := entryRequest()
+		request.HoldsTag, request.KnownRevision = 0, 0
+		response := &apiv1.RenewEntryResponse{EndpointsReset: true, Endpoints: endpoints(0, size), Grants: holds(size)}
+		return entryCall(b, request, response)
+	})
+	measureCalls("entry renewal, routing changed", "service", []int{40, 80, 160}, func(size int) cost {
+		response := &apiv1.RenewEntryResponse{GrantsUnchanged: true, ConfigurationChanged: true, Configuration: routing(b, size)}
+		return entryCall(b, entryRequest(), response)
+	})
+	measureCalls("worker renewal, idle", "task held", []int{0, 8, 16, 32}, func(size int) cost { return workerCall(b, size) })
+	measureCalls("endpoint renewal", "endpoint", []int{1, 2, 4}, func(size int) cost { return endpointCalls(b, size) })
+	measureCalls("peer message", "entry of 200 B", []int{0, 1, 8, 64}, func(size int) cost { return peerCall(b, size) })
+}
+
+// routing returns what a store gives entries of services with one route each.
+func routing(b *testing.B, services int) *apiv1.Configuration {
+	c := newCell(b)
+	configured := configuration(services)
+	for _, j := range configured.GetJobs() {
+		j.Kind = apiv1.JobKind_JOB_KIND_SERVICE
+		j.Routes = []*apiv1.Route{{PathPrefix: "/" + j.GetName()}}
+	}
+	c.publish(configured)
+	return c.store.Routing().Configuration
+}
+
+// endpointCalls renews the given number of endpoints, one after another.
+func endpointCalls(b *testing.B, count int) cost {
+	return callCost(b, apiv1.NewDiscoveryServer(discoveryAnswers{}), func(url string, client *http.Client) error {
+		link := apiv1.NewDiscoveryProtobufClient(url, client)
+		for i := range count {
+			if _, err := link.Renew(context.Background(), &apiv1.RenewEndpointRequest{Id: endpointID(i)}); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func entryRequest() *apiv1.RenewEntryRequest {
+	return &apiv1.RenewEntryRequest{
+		Entry: "entry-03", Session: "5f1b9c3a7d2e4f60", Location: location(1), Address: "10.0.0.3:8080",
+		KnownRevision: 1_000_000, WaitMs: 1000, Sequence: 1_000_000, HoldsTag: 1 << 40,
+	}
+}
+
+func entryCall(b *testing.B, request *apiv1.RenewEntryRequest, response *apiv1.RenewEntryResponse) cost {
+	response.LeaseMs, response.Revision, response.ConfigurationRevision = 4000, 1_000_000, 1_000_000
+	response.ControlAddresses = controlAddresses()
+	response.NowUnixMs = begin
+	service := entryAnswers{&answers{entry: response}}
+	return callCost(b, apiv1.NewEntryLinkServer(service), func(url string, client *http.Client) error {
+		_, err := apiv1.NewEntryLinkProtobufClient(url, client).Renew(context.Background(), request)
+		return err
+	})
+}
+
+func controlAddresses() []string {
+	return []string{"10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000", "10.0.0.4:7000", "10.0.0.5:7000"}
+}
+
+func holds(count int) []*apiv1.SlotHold {
+	all := make([]*apiv1.SlotHold, 0, count)
+	for i := range count {
+		all = append(all, &apiv1.SlotHold{Endpoint: endpointID(i), Slots: 2, Connections: 8})
+	}
+	return all
+}
+
+func workerCall(b *testing.B, size int) cost {
+	request := &apiv1.RenewWorkerRequest{Worker: worker(1), Usage: amount(), WaitMs: 1000, OrdersSeen: 1000}
+	for i := range size {
+		id := attemptID(jobName(0), i, 1)
+		request.Reports = append(request.Reports, report(id, 1, apiv1.AttemptReport_PHASE_RUNNING))
+	}
+	response := &apiv1.RenewWorkerResponse{LeaseMs: 4000, OrdersRevision: 1000, OrdersUnchanged: true}
+	service := workerAnswers{&answers{worker: response}}
+	return callCost(b, apiv1.NewPlatformServer(service), func(url string, client *http.Client) error {
+		_, err := apiv1.NewPlatformProtobufClient(url, client).Renew(context.Background(), request)
+		return err
+	})
+}
+
+func peerCall(b *testing.B, size int) cost {
+	message := &apiv1.RaftMessage{
+		Type: apiv1.RaftMessage_TYPE_APPEND, From: 1 << 60, To: 1 << 61, Term: 12,
+		LogTerm: 12, Index: 10_000_000, Commit: 10_000_000, Context: 1_000_000,
+	}
+	for range size {
+		message.Entries = append(message.Entries, &apiv1.LogEntry{Term: 12, Index: 10_000_000, Data: make([]byte, 200)})
+	}
+	request := &apiv1.StepRequest{
+		ClusterId: "5f1b9c3a7d2e4f605f1b9c3a7d2e4f60", From: 1 << 60, FromAddress: "10.0.0.1:7000",
+		Messages: []*apiv1.RaftMessage{message},
+	}
+	return callCost(b, apiv1.NewPeerServer(peerAnswers{}), func(url string, client *http.Client) error {
+		_, err := apiv1.NewPeerProtobufClient(url, client).Step(context.Background(), request)
+		return err
+	})
+}
