Measure orders in full and the record of a publication

Cause: the capacity page could not say whether a worker keeps 3 KB/s at peak starts, nor how many bytes a publication leaves in the state.

--- a/test/slopes/state_bench_test.go
+++ b/test/slopes/state_bench_test.go
@@ -19,6 +19,7 @@
 		{"endpoint", []int{400, 800, 1600}, announceAll},
 		{"running task", []int{1000, 2000, 4000}, runTasks},
 		{"worker", []int{140, 275, 550}, func(c *cell, size int) { c.register(size) }},
+		{"publication recorded", []int{100, 200, 400}, publishOften},
 		{"kept claim, 256-byte answer", []int{10_000, 20_000, 40_000}, keepClaims},
 	} {
 		snapshots, times := map[int]float64{}, map[int]float64{}
@@ -71,3 +72,13 @@
 		c.apply(settles(first, batch))
 	}
 }
+
+// publishOften changes one of ten jobs each time; the trail of audit and the
+// list of publications grow.
+func publishOften(c *cell, size int) {
+	for i := range size {
+		published := configuration(10)
+		published.Jobs[0].ExpectedRunMs += int64(i + 1)
+		c.publish(published)
+	}
+}
--- a/test/slopes/wire_bench_test.go
+++ b/test/slopes/wire_bench_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/state/tasks"
 )
 
 const (
@@ -136,7 +137,12 @@
 		response := &apiv1.RenewEntryResponse{GrantsUnchanged: true, ConfigurationChanged: true, Configuration: routing(b, size)}
 		return entryCall(b, entryRequest(), response)
 	})
-	measureCalls("worker renewal, idle", "task held", []int{0, 8, 16, 32}, func(size int) cost { return workerCall(b, size) })
+	measureCalls("worker renewal, idle", "task held", []int{0, 8, 16, 32}, func(size int) cost {
+		return workerCall(b, size, &apiv1.RenewWorkerResponse{OrdersUnchanged: true})
+	})
+	measureCalls("worker renewal, orders in full", "task held", []int{0, 8, 16, 32}, func(size int) cost {
+		return workerCall(b, size, &apiv1.RenewWorkerResponse{Orders: orders(b, size)})
+	})
 	measureCalls("endpoint renewal", "endpoint", []int{1, 2, 4}, func(size int) cost { return endpointCalls(b, size) })
 	measureCalls("peer message", "entry of 200 B", []int{0, 1, 8, 64}, func(size int) cost { return peerCall(b, size) })
 }
@@ -196,13 +202,26 @@
 	return all
 }
 
-func workerCall(b *testing.B, size int) cost {
+// orders returns what a table orders a worker that holds so many tasks.
+func orders(b *testing.B, count int) []*apiv1.Order {
+	c := newCell(b)
+	c.register(1)
+	if count > 0 {
+		configured := configuration(0)
+		configured.Jobs = append(configured.Jobs, job("batch", team(0), count))
+		c.publish(configured)
+		c.place("batch", count, 1)
+	}
+	return c.table().Orders(workerName(0), worker(0).GetBoot(), tasks.NoRevision).Orders
+}
+
+func workerCall(b *testing.B, size int, response *apiv1.RenewWorkerResponse) cost {
 	request := &apiv1.RenewWorkerRequest{Worker: worker(1), Usage: amount(), WaitMs: 1000, OrdersSeen: 1000}
 	for i := range size {
 		id := attemptID(jobName(0), i, 1)
 		request.Reports = append(request.Reports, report(id, 1, apiv1.AttemptReport_PHASE_RUNNING))
 	}
-	response := &apiv1.RenewWorkerResponse{LeaseMs: 4000, OrdersRevision: 1000, OrdersUnchanged: true}
+	response.LeaseMs, response.OrdersRevision = 4000, 1000
 	service := workerAnswers{&answers{worker: response}}
 	return callCost(b, apiv1.NewPlatformServer(service), func(url string, client *http.Client) error {
 		_, err := apiv1.NewPlatformProtobufClient(url, client).Renew(context.Background(), request)
