Slots: what can't be divided equally goes to the first in turn

Cause: with 12 entries and 8 slots, fill's rounded share grew from 0 to 1 for the last eight entries, whoever they were, so an entry whose requests waited got none for good. Ruled out: demand reported too late (renewals every 100 ms told of it), slots not given back (the holders were never asked to). Change: once a need is not met whole, the share stays for all later ones.

--- a/internal/balance/shares/fill.go
+++ b/internal/balance/shares/fill.go
@@ -14,8 +14,13 @@
 func fill(amount int32, claims []*claim) int32 {
 	byNeed := append([]*claim(nil), claims...)
 	sort.SliceStable(byNeed, func(i, j int) bool { return byNeed[i].need < byNeed[j].need })
+	var share int32
 	for i, c := range byNeed {
-		share := amount / int32(len(byNeed)-i)
+		// Once a need is not met whole, the later ones are as large and get as
+		// much: the share must not grow by what is left over.
+		if i == 0 || byNeed[i-1].need == 0 {
+			share = amount / int32(len(byNeed)-i)
+		}
 		given := min(c.need, share)
 		c.got += given
 		c.need -= given
--- /dev/null
+++ b/internal/balance/shares/fill_test.go
@@ -0,0 +1,37 @@
+package shares
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestFillDividesByMaxMinFairness(t *testing.T) {
+	cases := []struct {
+		name   string
+		amount int32
+		needs  []int32
+		got    []int32
+		left   int32
+	}{
+		{"fewer than there are needs: the first ones get one", 2, []int32{1, 1, 1}, []int32{1, 1, 0}, 0},
+		{"what can't be divided equally goes to the first ones", 8, []int32{5, 5, 5}, []int32{3, 3, 2}, 0},
+		{"small needs are met whole", 10, []int32{9, 1, 9}, []int32{5, 1, 4}, 0},
+		{"nothing needed", 4, []int32{0, 0}, []int32{0, 0}, 4},
+		{"more than needed", 9, []int32{2, 3}, []int32{2, 3}, 4},
+		{"nobody", 3, nil, nil, 3},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			claims := make([]*claim, len(test.needs))
+			for i, need := range test.needs {
+				claims[i] = &claim{need: need}
+			}
+			is.Equal(fill(test.amount, claims), test.left)
+			for i, c := range claims {
+				is.Equal(c.got, test.got[i])
+			}
+		})
+	}
+}
