Failure test: a thawed leader answers no stale read

Cause: with Barrier answering without a read-index round, the tests of frozen and cut-off leaders still passed: the operators' clients had given up the calls that the thawed leader answered. Change: calls that begin after a publication wait at the frozen leader itself.

--- a/test/failure/control_test.go
+++ b/test/failure/control_test.go
@@ -2,12 +2,19 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/rpc"
 )
 
 // pastEveryTimeout is longer than the leases and election time-outs together.
@@ -97,3 +104,52 @@
 	progress(c, o, 20)
 	finish(c, o)
 }
+
+func TestThawedLeaderAnswersNoStaleRead(t *testing.T) {
+	const readers = 20
+	c := newCluster(t, layout{voters: 3})
+	c.publish(configurationOf("first"))
+	for round := range 5 {
+		old := c.leader()
+		old.freeze()
+		content := fmt.Sprintf("second-%d", round)
+		c.publish(configurationOf(content))
+		// Calls that begin after the publication wait at the frozen leader.
+		var reading sync.WaitGroup
+		for range readers {
+			reading.Go(func() {
+				client := rpc.NewClient(rpc.Options{Addresses: []string{old.address}, AttemptTimeout: patience})
+				defer client.Close()
+				ctx, cancel := context.WithTimeout(context.Background(), pastEveryTimeout)
+				defer cancel()
+				response, err := client.Control().GetConfiguration(ctx, &apiv1.GetConfigurationRequest{})
+				if err == nil && contentOf(response.GetConfiguration()) != content {
+					t.Errorf("the thawed leader answered with %q after %q was acknowledged", contentOf(response.GetConfiguration()), content)
+				}
+			})
+		}
+		c.await("the calls to be on their way", func() bool { return connectionsTo(t, old.address) >= readers })
+		old.thaw()
+		reading.Wait()
+	}
+}
+
+// connectionsTo counts the established connections to a loopback port.
+func connectionsTo(t *testing.T, address string) int {
+	t.Helper()
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	number, err := strconv.Atoi(port)
+	if err != nil {
+		t.Fatal(err)
+	}
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Columns: number, local address, remote address, state; 01: established.
+	remote := fmt.Sprintf("0100007F:%04X 01 ", number)
+	return strings.Count(string(table), remote)
+}
