Read-through: one place for fixed seeds; leader duties told apart in the log

Cause: eight packages set rapid's seed in copies that differed in small ways, and each change of leader gave two lines that read alike. Change: internal/fixedseed, with every package's seed and number of checks as before; the control role logs its duties, the replica its leadership. Seen: the tests of the nine packages pass.

--- a/internal/control/repair/rapid_test.go
+++ b/internal/control/repair/rapid_test.go
@@ -1,8 +1,6 @@
 package repair_test
 
 import (
-	"flag"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -10,16 +8,12 @@
 	"pgregory.net/rapid"
 
 	"github.com/pistachioport/pistachioport/internal/control/repair"
+	"github.com/pistachioport/pistachioport/internal/fixedseed"
 )
 
-// TestMain fixes the seed of rapid, so that every run draws the same cases.
+// TestMain fixes the seed of the property tests.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "2000", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	fixedseed.Main(m, fixedseed.Default, 2000)
 }
 
 // process is one configured VM.
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -64,7 +64,7 @@
 }
 
 func (s *Server) beginLeadership(ctx context.Context, term uint64) {
-	s.Logger.Info("leadership begins", "term", term)
+	s.Logger.Info("leader duties began", "term", term)
 	l := newLeadership(context.WithoutCancel(ctx), s, term)
 	s.leadership.Store(l)
 	l.start()
@@ -78,7 +78,7 @@
 		return
 	}
 	l.stop()
-	s.Logger.Info("leadership ended", "term", l.term)
+	s.Logger.Info("leader duties ended", "term", l.term)
 }
 
 func (s *Server) handOver(ctx context.Context) {
--- /dev/null
+++ b/internal/fixedseed/fixedseed.go
@@ -0,0 +1,34 @@
+// Package fixedseed runs a package's property tests with a fixed seed, so that
+// each run draws the same cases and gives the same verdict. It is for tests
+// only.
+package fixedseed
+
+import (
+	"flag"
+	"os"
+	"strconv"
+	"testing"
+)
+
+// Default is the seed of tests that need no other.
+const Default = 20261204
+
+// Main runs the tests with the seed and ends the process with their exit code;
+// 0 checks leaves their number to rapid. Flags on the command line go first.
+func Main(m *testing.M, seed uint64, checks int) {
+	presets := map[string]string{
+		"rapid.seed":       strconv.FormatUint(seed, 10),
+		"rapid.nofailfile": "true",
+	}
+	if checks > 0 {
+		presets["rapid.checks"] = strconv.Itoa(checks)
+	}
+	flag.Parse()
+	flag.Visit(func(f *flag.Flag) { delete(presets, f.Name) })
+	for name, value := range presets {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/internal/lease/rapid_test.go
+++ b/internal/lease/rapid_test.go
@@ -1,25 +1,19 @@
 package lease_test
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"github.com/pistachioport/pistachioport/internal/clock"
+	"github.com/pistachioport/pistachioport/internal/fixedseed"
 	"github.com/pistachioport/pistachioport/internal/lease"
 )
 
-// TestMain fixes the seed of rapid, so that every run draws the same cases.
+// TestMain fixes the seed of the property tests.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true", "rapid.checks": "3000"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	fixedseed.Main(m, fixedseed.Default, 3000)
 }
 
 // pair is a holder and a granter on two machines, whose clocks run at rates
--- a/internal/placement/main_test.go
+++ b/internal/placement/main_test.go
@@ -1,20 +1,12 @@
 package placement_test
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/pistachioport/pistachioport/internal/fixedseed"
 )
 
-// TestMain fixes rapid's seed, so that each run gives the same verdict. A seed
-// given on the command line goes first.
+// TestMain fixes the seed of the property tests.
 func TestMain(m *testing.M) {
-	seed := "1"
-	flag.Parse()
-	if given := flag.Lookup("rapid.seed"); given.Value.String() == given.DefValue {
-		if err := flag.Set("rapid.seed", seed); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	fixedseed.Main(m, 1, 0)
 }
--- a/internal/state/claims/table_test.go
+++ b/internal/state/claims/table_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -13,20 +11,13 @@
 	"pgregory.net/rapid"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/fixedseed"
 	"github.com/pistachioport/pistachioport/internal/state/claims"
 )
 
+// TestMain fixes the seed of the property tests.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{
-		"rapid.seed":       "20261204",
-		"rapid.checks":     "500",
-		"rapid.nofailfile": "true",
-	} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	fixedseed.Main(m, fixedseed.Default, 500)
 }
 
 const start = int64(1_700_000_000_000)
