Model of repair in the order that the code takes; clearer refusals of calls

Cause: replace.pml promoted the new voter before it removed the lost one, while the repair removes first; and Twirp answers a wrong content type with 404 and a body that is too large with 400. Change: the model takes the code's order, the other one is a variant that scripts/model checks as well; control answers 415 and 413 before Twirp sees it.

--- a/internal/control/handler.go
+++ b/internal/control/handler.go
@@ -53,6 +53,10 @@
 		r = r.WithContext(ctx)
 		r.Body = http.MaxBytesReader(w, r.Body, bounds.body)
 		s.count(name, r)
+		if refusal := checkCall(r, bounds.body); refusal != nil {
+			refusal.write(w)
+			return
+		}
 		service.ServeHTTP(w, r)
 	})
 }
--- a/internal/control/handler_test.go
+++ b/internal/control/handler_test.go
@@ -20,13 +20,14 @@
 		path        string
 		contentType string
 		body        io.Reader
+		status      int
 	}{
-		{"wrong content type", "/twirp/pistachioport.v1.Discovery/Announce", "text/plain", strings.NewReader("{}")},
-		{"no JSON", "/twirp/pistachioport.v1.Discovery/Announce", "application/json", strings.NewReader("{")},
-		{"unknown method", "/twirp/pistachioport.v1.Discovery/Remove", "application/json", strings.NewReader("{}")},
-		{"no protobuf", "/twirp/pistachioport.v1.Control/Publish", "application/protobuf", bytes.NewReader([]byte{0xff, 0xff})},
-		{"huge announcement", "/twirp/pistachioport.v1.Discovery/Announce", "application/json", strings.NewReader(`{"endpoint":{"id":"` + strings.Repeat("x", 2<<20) + `"}}`)},
-		{"huge publication", "/twirp/pistachioport.v1.Control/Publish", "application/protobuf", bytes.NewReader(make([]byte, 8<<20))},
+		{"wrong content type", "/twirp/pistachioport.v1.Discovery/Announce", "text/plain", strings.NewReader("{}"), http.StatusUnsupportedMediaType},
+		{"no JSON", "/twirp/pistachioport.v1.Discovery/Announce", "application/json", strings.NewReader("{"), http.StatusBadRequest},
+		{"unknown method", "/twirp/pistachioport.v1.Discovery/Remove", "application/json", strings.NewReader("{}"), http.StatusNotFound},
+		{"no protobuf", "/twirp/pistachioport.v1.Control/Publish", "application/protobuf", bytes.NewReader([]byte{0xff, 0xff}), http.StatusBadRequest},
+		{"huge announcement", "/twirp/pistachioport.v1.Discovery/Announce", "application/json", strings.NewReader(`{"endpoint":{"id":"` + strings.Repeat("x", 2<<20) + `"}}`), http.StatusRequestEntityTooLarge},
+		{"huge publication", "/twirp/pistachioport.v1.Control/Publish", "application/protobuf", bytes.NewReader(make([]byte, 8<<20)), http.StatusRequestEntityTooLarge},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -34,8 +35,7 @@
 			response, err := http.Post(r.url+c.path, c.contentType, c.body)
 			is.NoErr(err)
 			defer func() { _ = response.Body.Close() }()
-			is.True(response.StatusCode >= http.StatusBadRequest)
-			is.True(response.StatusCode < http.StatusInternalServerError)
+			is.Equal(response.StatusCode, c.status)
 		})
 	}
 }
--- a/model/replace.pml
+++ b/model/replace.pml
@@ -3,8 +3,9 @@
  *
  * Members are incarnations. Voters 0, 1 and 2 begin with member 0 leading term
  * 1; member 3 is the new incarnation of the machine whose disk is lost. The
- * leader adds it as a learner, promotes it and removes the lost one. Each of
- * these is a log entry and takes effect once it is appended. One command is
+ * leader adds it as a learner, removes the lost one and promotes it; a variant
+ * promotes it before it removes the lost one, as an operator may. Each of these
+ * is a log entry and takes effect once it is appended. One command is
  * proposed besides.
  *
  * A vote is one step between two members, and so is an append of one entry with
@@ -21,8 +22,9 @@
  * have them), crashes between a write and its sync, snapshots and compaction, pre-vote and the lease
  * on votes, which serve progress only, read-index, a second lost disk, progress.
  *
- * Planted faults, which must be found:
+ * A variant, and planted faults, which must be found:
  */
+// VARIANT: PROMOTE_FIRST
 // FAULT: BUG_VOTE_LOST_DISK
 // FAULT: BUG_COUNT_LEARNER
 // FAULT: BUG_OLD_TERM_COMMIT
@@ -51,6 +53,15 @@
 #define PROMOTE 4
 #define REMOVE  5
 
+/* The repair removes the lost voter before it promotes the new one. */
+#ifdef PROMOTE_FIRST
+#define SECOND PROMOTE
+#define THIRD  REMOVE
+#else
+#define SECOND REMOVE
+#define THIRD  PROMOTE
+#endif
+
 #define FOLLOWER  0
 #define CANDIDATE 1
 #define LEADER    2
@@ -287,8 +298,8 @@
        (term[l] == 1 || (known[l] > 0 && entryTerm[AT(l, known[l] - 1)] == term[l])) ->
        if
        :: n == 0 -> set = ADD
-       :: n > 0 && entryKind[AT(l, n - 1)] == ADD -> set = PROMOTE
-       :: n > 0 && entryKind[AT(l, n - 1)] == PROMOTE -> set = REMOVE
+       :: n > 0 && entryKind[AT(l, n - 1)] == ADD -> set = SECOND
+       :: n > 0 && entryKind[AT(l, n - 1)] == SECOND -> set = THIRD
        :: else
        fi;
        if
