Read-through: one check of calls for control and entries

Cause: the entry's discovery and control refused bad calls by the same rules in two places. Change: rpc.CheckCall. Seen: tests of control, discovery and rpc pass.

--- a/internal/control/handler.go
+++ b/internal/control/handler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/rpc"
 )
 
 // Bounds of a call.
@@ -53,8 +54,8 @@
 		r = r.WithContext(ctx)
 		r.Body = http.MaxBytesReader(w, r.Body, bounds.body)
 		s.count(name, r)
-		if refusal := checkCall(r, bounds.body); refusal != nil {
-			refusal.write(w)
+		if refusal := rpc.CheckCall(r, bounds.body); refusal != nil {
+			refusal.Write(w)
 			return
 		}
 		service.ServeHTTP(w, r)
