Entry: a streamed body ends at its length, without reading the caller's body again

The lost request was always a long answer of the entry that stays; the entry itself closed its connection to the endpoint in the middle of the answer ('use of closed network connection'). net/http's Transport looks for the end of a body of known length by one more read after its last byte is on the wire. If the endpoint has begun to answer by then, the entry has begun its own answer, and net/http has closed the caller's body: the read fails with ErrBodyReadAfterClose and the Transport closes the endpoint's connection.

Ruled out: load (fails with nothing beside it), the drain itself (the loss is on the entry that does not drain), idle time-out and connection grants (they close idle connections only), the test's balancer.

Conclusion: not a matter of draining; every streamed request with a stated length could lose a long answer.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -64,8 +64,12 @@
 	if noBody(r) {
 		return &body{buffered: true}
 	}
+	var stream io.Reader = &boundedReader{from: r.Body, left: limit}
+	if r.ContentLength > 0 {
+		stream = &knownLength{from: stream, left: r.ContentLength}
+	}
 	return &body{
-		stream:  &boundedReader{from: r.Body, left: limit},
+		stream:  stream,
 		length:  r.ContentLength,
 		trailer: r.Trailer,
 	}
