--- a/api/v1/platform.twirp.go
+++ b/api/v1/platform.twirp.go
@@ -505,7 +505,7 @@
 }
 
 func (s *platformServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *platformServer) ProtocGenTwirpVersion() string {
@@ -519,7 +519,7 @@
 	return baseServicePath(s.pathPrefix, "pistachioport.v1", "Platform")
 }
 
-var twirpFileDescriptor2 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 523 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x53, 0x4d, 0x6f, 0xda, 0x40,
 	0x14, 0xac, 0x83, 0xf9, 0xc8, 0x83, 0x10, 0x77, 0x1b, 0x29, 0x0e, 0xad, 0x14, 0x84, 0x5a, 0x95,
--- a/api/v1/raft.twirp.go
+++ b/api/v1/raft.twirp.go
@@ -784,7 +784,7 @@
 }
 
 func (s *peerServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor3, 0
+	return twirpFileDescriptor4, 0
 }
 
 func (s *peerServer) ProtocGenTwirpVersion() string {
@@ -798,7 +798,7 @@
 	return baseServicePath(s.pathPrefix, "pistachioport.v1", "Peer")
 }
 
-var twirpFileDescriptor3 = []byte{
+var twirpFileDescriptor4 = []byte{
 	// 913 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x55, 0x5b, 0x8f, 0xdb, 0x44,
 	0x14, 0xc6, 0x59, 0xef, 0xc6, 0x3e, 0xb9, 0xd4, 0x1d, 0x95, 0xc5, 0x4d, 0x69, 0x49, 0x8d, 0x90,
--- a/api/v1/request.twirp.go
+++ b/api/v1/request.twirp.go
@@ -784,7 +784,7 @@
 }
 
 func (s *claimsServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor4, 0
+	return twirpFileDescriptor5, 0
 }
 
 func (s *claimsServer) ProtocGenTwirpVersion() string {
@@ -798,7 +798,7 @@
 	return baseServicePath(s.pathPrefix, "pistachioport.v1", "Claims")
 }
 
-var twirpFileDescriptor4 = []byte{
+var twirpFileDescriptor5 = []byte{
 	// 909 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x56, 0xcd, 0x72, 0xe3, 0x44,
 	0x10, 0x8e, 0x22, 0x5b, 0xb6, 0xdb, 0x3f, 0x71, 0x4d, 0x6d, 0x51, 0x26, 0x2c, 0xac, 0x11, 0x7f,
--- a/cmd/pistachiod/main.go
+++ b/cmd/pistachiod/main.go
@@ -13,7 +13,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	code := command.Execute(ctx, os.Stdout, os.Stderr, os.Args[1:], daemon.Run)
+	code := command.Execute(ctx, os.Stdout, os.Stderr, os.Args[1:], daemon.Run, daemon.RunOnPlatform)
 	stop()
 	os.Exit(code)
 }
--- a/internal/command/daemon/root.go
+++ b/internal/command/daemon/root.go
@@ -27,9 +27,13 @@
 // gracefully.
 type RunFunc func(ctx context.Context, settings *settings.Settings) error
 
+// PlatformFunc runs the role that the users' platform gives this process until
+// ctx ends, and then shuts it down gracefully.
+type PlatformFunc func(ctx context.Context) error
+
 // Execute runs the command line and returns the process's exit code.
-func Execute(ctx context.Context, out, errOut io.Writer, arguments []string, run RunFunc) int {
-	root := newRoot(run)
+func Execute(ctx context.Context, out, errOut io.Writer, arguments []string, run RunFunc, onPlatform PlatformFunc) int {
+	root := newRoot(run, onPlatform)
 	root.SetOut(out)
 	root.SetErr(errOut)
 	root.SetArgs(arguments)
@@ -49,7 +53,7 @@
 	return ExitError
 }
 
-func newRoot(run RunFunc) *cobra.Command {
+func newRoot(run RunFunc, onPlatform PlatformFunc) *cobra.Command {
 	root := &cobra.Command{
 		Use:   "pistachiod",
 		Short: "Runs the roles of one VM: control, entry or both",
@@ -66,7 +70,7 @@
 		RunE:          func(command *cobra.Command, _ []string) error { return command.Help() },
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Mark(err, errUsage) })
-	root.AddCommand(newRunCommand(run), newCheckCommand(), newVersionCommand())
+	root.AddCommand(newRunCommand(run), newPlatformCommand(onPlatform), newCheckCommand(), newVersionCommand())
 	return root
 }
 
@@ -92,6 +96,17 @@
 	}
 }
 
+func newPlatformCommand(run PlatformFunc) *cobra.Command {
+	return &cobra.Command{
+		Use:   "platform",
+		Short: "Runs the role that the users' platform gives this process, until SIGTERM",
+		Long: `platform runs one role on the users' platform. Its settings are the platform's:
+the environment variable PISTACHIOPORT_SETTINGS names their file.`,
+		Args: usage(cobra.NoArgs),
+		RunE: func(command *cobra.Command, _ []string) error { return run(command.Context()) },
+	}
+}
+
 func newCheckCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "check FILE",
--- a/internal/command/daemon/root_test.go
+++ b/internal/command/daemon/root_test.go
@@ -46,7 +46,7 @@
 				return c.failure
 			}
 			var out, errs bytes.Buffer
-			code := daemon.Execute(context.Background(), &out, &errs, strings.Fields(c.arguments), run)
+			code := daemon.Execute(context.Background(), &out, &errs, strings.Fields(c.arguments), run, nil)
 			is.Equal(code, c.code)
 			is.Equal(ran, c.ran)
 			is.True(strings.Contains(out.String()+errs.String(), c.want))
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -9,6 +9,7 @@
 
 	"github.com/pistachioport/pistachioport/internal/clock"
 	"github.com/pistachioport/pistachioport/internal/control/repair"
+	"github.com/pistachioport/pistachioport/internal/dispatch"
 	"github.com/pistachioport/pistachioport/internal/replica"
 	"github.com/pistachioport/pistachioport/internal/state"
 )
@@ -46,6 +47,7 @@
 	Peers   []Peer // all control processes of the settings, this one too
 
 	Placement PlacementDuty     // nil: workers are not served
+	Dispatch  *dispatch.Config  // nil: callers can't hand jobs in
 	NewSlots  func() SlotLedger // makes each term's ledger; nil: no slots are granted
 
 	EntryLease    time.Duration
--- a/internal/control/handler.go
+++ b/internal/control/handler.go
@@ -40,6 +40,9 @@
 	s.mount(mux, apiv1.NewDiscoveryServer(discovery{s}), ordinary)
 	s.mount(mux, apiv1.NewPlatformServer(platformService{s}), callBounds{timeout: callTimeout, body: maxRenewalBody})
 	s.mount(mux, apiv1.NewFormationServer(formation{s}), ordinary)
+	if s.Dispatch != nil {
+		s.mount(mux, apiv1.NewJobsServer(jobsService{s}), callBounds{timeout: callTimeout, body: maxLargeBody})
+	}
 	mux.HandleFunc(healthPath, s.serveHealth)
 	mux.HandleFunc(readyPath, s.serveReady)
 	return mux
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/dispatch"
 	"github.com/pistachioport/pistachioport/internal/lease"
 )
 
@@ -32,6 +33,7 @@
 	slots     SlotLedger // nil: no slots are granted
 	starved   *broadcast // an entry's requests wait without any slot
 	claims    *claimBatcher
+	dispatch  *dispatch.Dispatcher // nil: callers can't hand jobs in
 }
 
 // newLeadership begins the lease accounts. The caller has withdrawn the
@@ -52,6 +54,9 @@
 		starved:   newBroadcast(),
 	}
 	l.claims = newClaimBatcher(ctx, server)
+	if server.Dispatch != nil {
+		l.dispatch = dispatch.New(ctx, *server.Dispatch, term)
+	}
 	if server.NewSlots != nil {
 		l.slots = server.NewSlots()
 	}
@@ -62,6 +67,9 @@
 	l.run("formation", l.recordFormation)
 	l.run("expiry", l.expireLeases)
 	l.run("repair", l.repairMembership)
+	if l.dispatch != nil {
+		l.duties.Go(l.runDispatch)
+	}
 	if l.server.Placement != nil {
 		l.run("placement", l.server.Placement.Run)
 	}
--- a/internal/control/repair_driver.go
+++ b/internal/control/repair_driver.go
@@ -102,6 +102,12 @@
 			FailureDomain: peer.FailureDomain,
 		})
 	}
+	for _, peer := range s.candidates.all() {
+		if !named[peer.Name] {
+			named[peer.Name] = true
+			peers = append(peers, repair.Peer{Name: peer.Name, Address: peer.Address, FailureDomain: peer.FailureDomain})
+		}
+	}
 	for _, infos := range [][]*apiv1.MemberInfo{status.Membership.GetVoters(), status.Membership.GetLearners()} {
 		for _, info := range infos {
 			if named[info.GetName()] {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -21,6 +21,7 @@
 
 	peers        *peerClients
 	leadership   atomic.Pointer[leadership] // nil while another process leads
+	candidates   candidates
 	formOperator atomic.Pointer[string]     // who asked this process to form a cluster
 }
 
--- a/internal/daemon/control_role.go
+++ b/internal/daemon/control_role.go
@@ -36,6 +36,10 @@
 	replica  *replica.Replica
 	server   *control.Server
 	listener *listener
+	// outside serves workers and operators of the users' platform; nil: none.
+	outside *listener
+	// background are further duties, which end with the server.
+	background []func(ctx context.Context)
 }
 
 func newControlRole(p *process) (*controlRole, error) {
@@ -113,10 +117,19 @@
 	defer stop()
 
 	group.Go(r.listener.serve)
+	if r.outside != nil {
+		group.Go(r.outside.serve)
+	}
 	group.Go(func() error {
-		defer r.listener.close()
+		defer r.closeListeners()
 		return r.replica.Run(replicaContext)
 	})
+	for _, duty := range r.background {
+		group.Go(func() error {
+			duty(serverContext)
+			return nil
+		})
+	}
 	group.Go(func() error {
 		defer stopReplica()
 		return r.server.Run(serverContext)
@@ -124,6 +137,13 @@
 	return group.Wait()
 }
 
+func (r *controlRole) closeListeners() {
+	if r.outside != nil {
+		r.outside.close()
+	}
+	r.listener.close()
+}
+
 func peers(p *process) []control.Peer {
 	var found []control.Peer
 	for _, member := range p.settings.Control.Members {
--- /dev/null
+++ b/internal/daemon/platform_control.go
@@ -0,0 +1,99 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pistachioport/pistachioport/internal/clock"
+	"github.com/pistachioport/pistachioport/internal/control"
+	"github.com/pistachioport/pistachioport/internal/control/repair"
+	"github.com/pistachioport/pistachioport/internal/dispatch"
+	"github.com/pistachioport/pistachioport/internal/intake"
+	"github.com/pistachioport/pistachioport/internal/metrics"
+	"github.com/pistachioport/pistachioport/internal/replica"
+	"github.com/pistachioport/pistachioport/internal/rpc"
+	"github.com/pistachioport/pistachioport/internal/state"
+	"github.com/pistachioport/pistachioport/internal/state/claims"
+	"github.com/pistachioport/pistachioport/internal/state/jobs"
+	"github.com/pistachioport/pistachioport/internal/state/tasks"
+	"github.com/pistachioport/pistachioport/platform"
+)
+
+// lostDiskAfter is how long a voter is silent before the empty process that
+// answers in its place takes it over.
+const lostDiskAfter = 1500 * time.Millisecond
+
+// newPlatformControl builds a control process on the users' platform.
+func newPlatformControl(p *platformProcess) (*controlRole, error) {
+	system := clock.System{}
+	table := jobs.New()
+	store := state.New(state.Options{
+		Claims: claims.New(claims.Options{}), Tasks: tasks.New(), Jobs: table,
+	})
+	address := p.settings.ControlAddress()
+	log, err := replica.New(replica.Config{
+		DataDir:       p.settings.DataDir,
+		Name:          p.settings.Name,
+		Address:       address,
+		FailureDomain: p.settings.FailureDomain,
+		Machine:       store,
+		Logger:        p.logger,
+		Metrics:       p.registry,
+		Seed:          seed(p.settings.Name),
+	})
+	if err != nil {
+		return nil, err
+	}
+	bounds := p.settings.Bounds
+	server, err := control.New(control.Config{
+		Log: log, Store: store, Clock: system, Logger: p.logger, Metrics: p.registry,
+		Name: p.settings.Name, Address: address,
+		Repair: repair.Limits{LostAfter: lostDiskAfter, GoneAfter: platform.Seconds(bounds.CatchUpS)},
+		Dispatch: &dispatch.Config{
+			Log: log, Table: table, Driver: p.client, Clock: system, Logger: p.logger, Metrics: p.registry,
+			Advisor: intake.AdvisorClient{HTTP: &http.Client{}, Local: p.client},
+			Times: dispatch.Times{
+				MaxLease:    platform.Milliseconds(bounds.MaxHoldMs),
+				StopTimeout: platform.Milliseconds(bounds.StopTimeoutMs),
+				GangTimeout: platform.Milliseconds(bounds.GangTimeoutMs),
+				Early:       platform.Milliseconds(bounds.EarlyMs),
+				JobStatus:   platform.Seconds(bounds.StatusS),
+			},
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	role := &controlRole{replica: log, server: server}
+	mux := http.NewServeMux()
+	mux.Handle(replica.PeerPath, log.PeerHandler())
+	mux.Handle("/metrics", metrics.Handler(p.registry))
+	mux.Handle("/", server.Handler())
+	if role.listener, err = listen(address, mux, controlReadTimeout, p.logger); err != nil {
+		return nil, err
+	}
+	outside := platform.ControlHandler(server, p.settings, p.logger)
+	if role.outside, err = listen(p.settings.Listen.Control, outside, controlReadTimeout, p.logger); err != nil {
+		return nil, err
+	}
+	role.background = platformDuties(p, server)
+	return role, nil
+}
+
+// platformDuties forms the cluster at the first start, and offers the process
+// to the leader while it is no voter.
+func platformDuties(p *platformProcess, server *control.Server) []func(context.Context) {
+	client := rpc.NewClient(rpc.Options{Addresses: p.settings.SeedAddresses()})
+	return []func(context.Context){
+		func(ctx context.Context) {
+			if p.settings.FirstStart {
+				server.FormFromSeeds(ctx, p.settings.SeedAddresses())
+			}
+		},
+		func(ctx context.Context) {
+			defer client.Close()
+			server.Offer(ctx, client.Jobs(), p.settings.FailureDomain)
+		},
+	}
+}
--- /dev/null
+++ b/internal/dispatch/advisors.go
@@ -0,0 +1,86 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+)
+
+// advisors spreads the calls to the policy service over the entries, since the
+// service answers each VM's calls in turn.
+type advisors struct {
+	mu   sync.Mutex
+	byID map[string]*advisor
+}
+
+type advisor struct {
+	address   string
+	lastSeen  time.Time
+	busyUntil time.Time // when the calls sent so far should be answered
+	failed    time.Time // last failed call
+}
+
+const (
+	advisorExpiry = 10 * time.Second // without a word from the entry
+	advisorRest   = 2 * time.Second  // after a failed call
+)
+
+func newAdvisors() *advisors { return &advisors{byID: make(map[string]*advisor)} }
+
+func (a *advisors) joined(address string, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.byID[address] == nil {
+		a.byID[address] = &advisor{address: address}
+	}
+	a.byID[address].lastSeen = now
+}
+
+// pick returns the entry whose calls are answered first and books the cost on
+// it. It returns "" if none is known.
+func (a *advisors) pick(now time.Time, cost time.Duration) string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var best *advisor
+	for address, one := range a.byID {
+		if now.Sub(one.lastSeen) > advisorExpiry {
+			delete(a.byID, address)
+			continue
+		}
+		if best == nil || one.before(best, now) {
+			best = one
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	best.busyUntil = later(best.busyUntil, now).Add(cost)
+	return best.address
+}
+
+// before orders by recent failure, then by the end of the queue, then by
+// address.
+func (o *advisor) before(other *advisor, now time.Time) bool {
+	resting, otherResting := now.Sub(o.failed) < advisorRest, now.Sub(other.failed) < advisorRest
+	if resting != otherResting {
+		return otherResting
+	}
+	if free, otherFree := later(o.busyUntil, now), later(other.busyUntil, now); !free.Equal(otherFree) {
+		return free.Before(otherFree)
+	}
+	return o.address < other.address
+}
+
+func (a *advisors) callFailed(address string, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if one := a.byID[address]; one != nil {
+		one.failed, one.busyUntil = now, now
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/dispatch/config.go
@@ -0,0 +1,68 @@
+package dispatch
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/clock"
+	"github.com/pistachioport/pistachioport/internal/state/jobs"
+)
+
+// Log is the part of the replicated log that the dispatcher uses.
+type Log interface {
+	Propose(ctx context.Context, command *apiv1.Command) (*apiv1.CommandResult, error)
+	Barrier(ctx context.Context) error
+}
+
+// Advisor asks the policy service which workers may run a step.
+type Advisor interface {
+	Advise(ctx context.Context, address, step string, workers []string) (*apiv1.AdviseResponse, error)
+}
+
+// Config sets a Dispatcher up.
+type Config struct {
+	Log     Log
+	Table   *jobs.Table
+	Driver  Driver
+	Advisor Advisor
+	Clock   clock.Clock
+	Logger  *slog.Logger
+	Metrics metrics.Registry
+	Times   Times
+}
+
+// Times are the lengths that follow from the platform's bounds.
+type Times struct {
+	MaxLease    time.Duration // longest lease that a worker keeps
+	StopTimeout time.Duration // within which a told run stops
+	GangTimeout time.Duration // for which a gang's member waits for the others
+	Early       time.Duration // by which a timed start may come early
+	JobStatus   time.Duration // for which a finished job is still known
+}
+
+// lease returns the length of the leader's authority and so of leases: half of
+// what workers keep, so that a worker cut off is given up soon, and a change of
+// leader within it costs no run.
+func (t Times) lease() time.Duration { return t.MaxLease / 2 }
+
+const (
+	// confirmInterval is the time between two rounds that confirm the leader.
+	confirmInterval = 250 * time.Millisecond
+	// startTimeout is how long a start's answer is waited for.
+	startTimeout = 600 * time.Millisecond
+	stopTimeout  = 600 * time.Millisecond
+	// holdWait is how long a worker may hold an answer back for an end.
+	holdWait = 2 * time.Second
+	// holdSlack is how much later than holdWait an answer may come.
+	holdSlack = 700 * time.Millisecond
+	// proposeTimeout bounds one commit; whether it took effect is unknown then.
+	proposeTimeout = 4 * time.Second
+	// passDelay gathers events that come together into one scheduling pass.
+	passDelay = time.Millisecond
+	// tickInterval is the time between scheduling passes without events.
+	tickInterval = 100 * time.Millisecond
+)
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,212 @@
+package dispatch
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+)
+
+// Dispatcher runs callers' jobs while this process leads, for one term.
+type Dispatcher struct {
+	Config
+	term      uint64
+	counters  counters
+	authority *authority
+	advisors  *advisors
+
+	ctx    context.Context //nolint:containedctx // ends with the term
+	cancel context.CancelFunc
+	tasks  errgroup.Group
+
+	mu     sync.Mutex
+	pools  map[string]*pool // by service
+	loaded bool
+}
+
+// New returns the dispatcher of a term.
+func New(ctx context.Context, config Config, term uint64) *Dispatcher {
+	d := &Dispatcher{
+		Config:    config,
+		term:      term,
+		counters:  newCounters(config.Metrics),
+		authority: &authority{clock: config.Clock, length: config.Times.lease()},
+		advisors:  newAdvisors(),
+		pools:     make(map[string]*pool),
+	}
+	d.Logger = config.Logger.With("term", term)
+	d.ctx, d.cancel = context.WithCancel(ctx)
+	return d
+}
+
+// Run takes over from the previous leader and gives orders until the term ends.
+func (d *Dispatcher) Run() error {
+	defer func() {
+		d.cancel()
+		_ = d.tasks.Wait()
+	}()
+	if err := d.takeOver(); err != nil {
+		return err
+	}
+	for {
+		if err := sleep(d.ctx, confirmInterval); err != nil {
+			return nil
+		}
+		d.confirm()
+		d.forgetFinished()
+	}
+}
+
+// Stop ends the term's work and waits for it.
+func (d *Dispatcher) Stop() { d.cancel() }
+
+// confirm extends the authority if a majority still takes this process for the
+// leader.
+func (d *Dispatcher) confirm() {
+	began := d.Clock.Read()
+	ctx, cancel := context.WithTimeout(d.ctx, d.Times.lease()/2)
+	defer cancel()
+	if err := d.Log.Barrier(ctx); err != nil {
+		if d.ctx.Err() == nil {
+			d.Logger.Warn("leadership not confirmed", "error", err, "authority_left_ms", d.authority.left().Milliseconds())
+		}
+		return
+	}
+	d.authority.confirm(began)
+}
+
+// takeOver loads what the replicated table holds, once all that was committed
+// before has been applied here.
+func (d *Dispatcher) takeOver() error {
+	began := d.Clock.Read()
+	if err := d.Log.Barrier(d.ctx); err != nil {
+		return errors.Wrap(err, "confirm the new leadership")
+	}
+	d.authority.confirm(began)
+	now := time.Now()
+	nowUnixMs := d.nowUnixMs()
+	waitOut := now.Add(time.Duration(float64(d.Times.lease())/clockRate) + leaseSlack)
+	workers, open := d.Table.Workers(), d.Table.Open()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, record := range workers {
+		d.poolLocked(record.GetService()).inherit(record, waitOut)
+	}
+	for _, p := range open {
+		d.poolLocked(p.GetJob().GetQueue().GetService()).load(newJob(p, now, nowUnixMs), true)
+	}
+	d.loaded = true
+	d.Logger.Info("took over", "workers", len(workers), "open_jobs", len(open),
+		"wait_out_ms", time.Until(waitOut).Milliseconds())
+	return nil
+}
+
+// Ready reports whether the takeover is done.
+func (d *Dispatcher) Ready() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.loaded && d.ctx.Err() == nil
+}
+
+func (d *Dispatcher) pool(service string) *pool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.poolLocked(service)
+}
+
+func (d *Dispatcher) poolLocked(service string) *pool {
+	p := d.pools[service]
+	if p == nil {
+		p = newPool(d, service)
+		d.pools[service] = p
+		d.spawn(p.run)
+	}
+	return p
+}
+
+func (d *Dispatcher) spawn(work func()) {
+	d.tasks.Go(func() error {
+		work()
+		return nil
+	})
+}
+
+// JobAccepted takes in a job whose acceptance is committed.
+func (d *Dispatcher) JobAccepted(accepted *apiv1.CallerJob) {
+	j := newJob(&apiv1.JobProgress{Job: accepted}, time.Now(), d.nowUnixMs())
+	d.pool(accepted.GetQueue().GetService()).add(j)
+}
+
+// JobCancelled stops what runs of a job whose cancellation is committed.
+func (d *Dispatcher) JobCancelled(id string) {
+	d.mu.Lock()
+	pools := make([]*pool, 0, len(d.pools))
+	for _, p := range d.pools {
+		pools = append(pools, p)
+	}
+	d.mu.Unlock()
+	for _, p := range pools {
+		p.drop(id, "job cancelled")
+	}
+}
+
+// WorkerReported takes in a worker's record that is committed.
+func (d *Dispatcher) WorkerReported(record *apiv1.PoolWorker) {
+	d.pool(record.GetService()).report(record)
+}
+
+// EntryJoined notes an entry that can ask the policy service.
+func (d *Dispatcher) EntryJoined(address string) { d.advisors.joined(address, time.Now()) }
+
+func (d *Dispatcher) nowUnixMs() int64 { return d.Clock.Read().Time().UnixMilli() }
+
+// propose commits a change of the table.
+func (d *Dispatcher) propose(command *apiv1.JobsCommand) error {
+	ctx, cancel := context.WithTimeout(d.ctx, proposeTimeout)
+	defer cancel()
+	_, err := d.Log.Propose(ctx, &apiv1.Command{
+		LeaderUnixMs: d.nowUnixMs(),
+		Body:         &apiv1.Command_Jobs{Jobs: command},
+	})
+	return errors.Wrap(err, "commit")
+}
+
+// maxForgotten bounds the jobs forgotten with one command.
+const maxForgotten = 500
+
+// forgetFinished drops the jobs whose state need not be known any longer.
+func (d *Dispatcher) forgetFinished() {
+	before := d.nowUnixMs() - d.Times.JobStatus.Milliseconds()*forgetFactor
+	ids := d.Table.FinishedBefore(before, maxForgotten)
+	if len(ids) == 0 {
+		return
+	}
+	if err := d.propose(&apiv1.JobsCommand{ForgetJobs: ids}); err != nil {
+		d.Logger.Warn("finished jobs not forgotten", "jobs", len(ids), "error", err)
+	}
+}
+
+// forgetFactor keeps finished jobs for twice the time that callers may ask, so
+// that a step of the wall clock makes none unknown early.
+const forgetFactor = 2
+
+func sleep(ctx context.Context, length time.Duration) error {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// logRun returns the attributes that identify a run in the log.
+func logRun(r *run) slog.Attr {
+	return slog.Group("run", "task", r.name, "number", r.number, "worker", r.worker.record.GetId())
+}
--- /dev/null
+++ b/internal/dispatch/hold.go
@@ -0,0 +1,296 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+)
+
+const (
+	holdRetry = 100 * time.Millisecond // pause after a hold without an answer
+	// refusalsToLose is how many calls in a row must meet no listener before
+	// the worker's life counts as over.
+	refusalsToLose = 2
+)
+
+// hold extends a worker's leases and takes in its reports until the worker is
+// lost.
+func (p *pool) hold(ctx context.Context, w *worker) {
+	for ctx.Err() == nil {
+		begun := time.Now()
+		order := p.holdOrder(w, begun)
+		limit := time.Duration(order.WaitMs)*time.Millisecond + holdSlack
+		call, cancel := context.WithTimeout(ctx, limit)
+		report, err := p.d.Driver.Hold(call, w.record, order)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			if !p.holdFailed(w, err) || sleep(ctx, holdRetry) != nil {
+				return
+			}
+			continue
+		}
+		ends, ok := p.reported(w, begun, report)
+		if !ok {
+			return
+		}
+		failed := report.Fenced || (len(ends) > 0 && !p.commitEnds(ctx, w, ends))
+		if failed {
+			_ = sleep(ctx, holdRetry)
+		}
+	}
+}
+
+func (p *pool) holdOrder(w *worker, now time.Time) HoldOrder {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	order := HoldOrder{Token: p.d.term, Cursor: w.cursor}
+	left := p.d.authority.left()
+	if order.Deadline = w.deadline(now, left); order.Deadline > 0 {
+		w.granted(now, left)
+	}
+	if w.synced && !p.stopsPending(w) && w.refused == 0 {
+		order.WaitMs = min(holdWait, p.d.Times.lease()/3).Milliseconds()
+	}
+	return order
+}
+
+// stopsPending reports whether a confirmed stop waits for the next report.
+func (p *pool) stopsPending(w *worker) bool {
+	for _, r := range w.runs {
+		if r.phase == phaseStopping {
+			return true
+		}
+	}
+	return false
+}
+
+// holdFailed takes in a hold without an answer and reports whether to go on.
+func (p *pool) holdFailed(w *worker, err error) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if w.synced && w.refused == 0 {
+		p.d.Logger.Warn("worker does not answer", "worker", w.record.GetId(), "error", err, "runs", len(w.runs))
+	}
+	switch {
+	case errors.Is(err, ErrOtherLife):
+		p.lose(w, "another life answers at its address")
+		return false
+	case errors.Is(err, ErrNoListener):
+		if w.refused++; w.refused >= refusalsToLose {
+			p.lose(w, "nothing listens at its address")
+			return false
+		}
+	default:
+		w.refused = max(w.refused, 1)
+	}
+	if now.After(w.leaseEnd.Add(leaseSlack)) && (len(w.runs) > 0 || p.unsettled[w.record.GetId()] != (time.Time{})) {
+		p.lapse(w)
+	}
+	return true
+}
+
+// lapse takes all runs of a worker that did not answer until its leases ran out
+// for ended. What else it may hold is asked for when it answers again.
+func (p *pool) lapse(w *worker) {
+	p.d.Logger.Warn("leases lapsed", "worker", w.record.GetId(), "runs", len(w.runs))
+	for _, r := range w.runs {
+		p.vanish(r)
+	}
+	w.synced = false
+	p.settle(w.record.GetId())
+	p.wake()
+}
+
+// reported takes in a report. It returns the ends that are to be recorded, and
+// false if the worker is not held any longer.
+func (p *pool) reported(w *worker, begun time.Time, report Report) ([]EndedRun, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if p.workers[w.record.GetId()] != w {
+		return nil, false
+	}
+	if report.Fenced {
+		p.d.Logger.Warn("a later leader gives orders to the worker", "worker", w.record.GetId())
+		w.synced = false
+		return nil, true
+	}
+	if report.BornUnixMs > w.record.GetBornUnixMs() && w.record.GetBornUnixMs() > 0 {
+		p.lose(w, "the worker has begun a new life")
+		return nil, false
+	}
+	w.learnClock(report.ClockMs, now)
+	w.heard, w.refused = now, 0
+	var ends []EndedRun
+	listed := make(map[runKey]bool, len(report.Active)+len(report.Ended))
+	for _, end := range report.Ended {
+		listed[runKey{end.Task, end.Run}] = true
+		if end.Number > w.cursor {
+			ends = append(ends, end)
+			p.free(w, end)
+		}
+	}
+	for _, active := range report.Active {
+		key := runKey{active.Task, active.Run}
+		listed[key] = true
+		p.seenActive(w, key, active, begun)
+	}
+	for key, r := range w.runs {
+		if !listed[key] && r.certainBefore(begun) {
+			p.d.Logger.Info("run is gone", logRun(r), "reason", r.reason)
+			p.vanish(r)
+		}
+	}
+	if !w.synced {
+		w.synced = true
+		p.d.Logger.Info("worker synced", "worker", w.record.GetId(), "active", len(report.Active), "ended", len(report.Ended))
+		p.settleAfter(w, ends)
+	}
+	p.wake()
+	return ends, true
+}
+
+// settleAfter settles the worker at once if its report lists no ends, or else
+// once they are recorded.
+func (p *pool) settleAfter(w *worker, ends []EndedRun) {
+	if len(ends) == 0 {
+		p.settle(w.record.GetId())
+	}
+}
+
+// certainBefore reports whether a report of a call that began then would list
+// the run if it were under way.
+func (r *run) certainBefore(begun time.Time) bool {
+	switch r.phase {
+	case phaseActive:
+		return r.acked.Before(begun)
+	case phaseStopping:
+		return r.stopped && r.acked.Before(begun)
+	default:
+		return false
+	}
+}
+
+// free gives back the room of a run whose end is listed.
+func (p *pool) free(w *worker, end EndedRun) {
+	r := w.runs[runKey{end.Task, end.Run}]
+	if r == nil {
+		return
+	}
+	delete(w.runs, r.key())
+	w.free.add(r.size)
+	if r.task == nil && r.size == (resources{}) {
+		w.orphan--
+	}
+}
+
+// seenActive takes in that a run is under way.
+func (p *pool) seenActive(w *worker, key runKey, active ActiveRun, begun time.Time) {
+	r := w.runs[key]
+	if r == nil {
+		r = p.adopt(w, key)
+	}
+	if r.phase == phaseOrdered {
+		r.phase, r.acked = phaseActive, begun
+		p.d.counters.started.Inc(1)
+		p.d.Logger.Info("run started", logRun(r), "seen", "in the worker's report")
+	}
+	if r.task != nil && active.Checkpoint != "" {
+		r.task.keepCheckpoint(active.Checkpoint)
+	}
+}
+
+func (t *task) keepCheckpoint(checkpoint string) {
+	if !t.unit.spec.GetCheckpointing() {
+		return
+	}
+	if !t.unit.spec.GetGang() {
+		t.checkpoint = checkpoint
+		return
+	}
+	for _, member := range t.unit.tasks {
+		member.checkpoint = checkpoint
+	}
+}
+
+// adopt takes in a run that this leader has not started. It goes on if its task
+// is still wanted and has no other run.
+func (p *pool) adopt(w *worker, key runKey) *run {
+	r := &run{name: key.name, number: key.number, worker: w, phase: phaseActive, acked: time.Now()}
+	w.runs[key] = r
+	t := p.findTask(key.name)
+	if t != nil {
+		t.unit.noteRun(key.number)
+		r.size = t.unit.size
+		w.free.subtract(r.size)
+		if t.run == nil && !t.done {
+			r.task, t.run = t, r
+			t.unclear = false
+			t.unit.job.begun = true
+			p.d.Table.MarkBegun(t.unit.job.id)
+			p.d.Logger.Info("run adopted", logRun(r))
+			return r
+		}
+	} else {
+		w.orphan++
+	}
+	p.stop(r, "nobody wants the run")
+	return r
+}
+
+func (p *pool) findTask(text string) *task {
+	name, ok := parseTaskName(text)
+	if !ok {
+		return nil
+	}
+	j := p.jobs[name.job]
+	if j == nil {
+		return nil
+	}
+	position := name.occurrence*len(j.spec.GetSteps()) + name.step
+	if name.step >= len(j.spec.GetSteps()) || position >= len(j.units) || name.index >= len(j.units[position].tasks) {
+		return nil
+	}
+	return j.units[position].tasks[name.index]
+}
+
+// commitEnds records the ends, so that the worker may forget them, and then
+// lets them take effect. It reports whether that succeeded.
+func (p *pool) commitEnds(ctx context.Context, w *worker, ends []EndedRun) bool {
+	command := &apiv1.JobsCommand{}
+	last := int64(0)
+	for _, end := range ends {
+		last = max(last, end.Number)
+		name, ok := parseTaskName(end.Task)
+		if !ok {
+			p.d.Logger.Error("a worker lists a run of an unreadable name", "worker", w.record.GetId(), "task", end.Task)
+			continue
+		}
+		command.Ends = append(command.Ends, &apiv1.RunEnd{
+			Job: name.job, Occurrence: int32(name.occurrence), Step: int32(name.step), Index: int32(name.index),
+			Run: end.Run, Outcome: end.Outcome, Checkpoint: end.Checkpoint,
+		})
+	}
+	if err := p.d.propose(command); err != nil {
+		if ctx.Err() == nil {
+			p.d.Logger.Warn("ends not recorded", "worker", w.record.GetId(), "ends", len(ends), "error", err)
+		}
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w.cursor = max(w.cursor, last)
+	for _, end := range ends {
+		p.ended(w, end)
+	}
+	p.settle(w.record.GetId())
+	p.wake()
+	return true
+}
--- /dev/null
+++ b/internal/dispatch/job.go
@@ -0,0 +1,111 @@
+package dispatch
+
+import (
+	"time"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/state/jobs"
+)
+
+// job is an accepted job that has not finished.
+type job struct {
+	id       string
+	queue    *apiv1.Queue
+	spec     *apiv1.JobSpec
+	accepted time.Time
+	units    []*unit // by occurrence, then step
+	open     int     // units with tasks that are not done
+	begun    bool
+}
+
+// newJob builds a job from its progress in the replicated table. The jobs of a
+// previous leader may have runs that are not known yet.
+func newJob(p *apiv1.JobProgress, now time.Time, nowUnixMs int64) *job {
+	accepted := p.GetJob()
+	j := &job{id: accepted.GetId(), queue: accepted.GetQueue(), spec: accepted.GetSpec()}
+	age := time.Duration(max(0, nowUnixMs-accepted.GetAcceptedUnixMs())) * time.Millisecond
+	j.accepted = now.Add(-age)
+	for occurrence := range jobs.Occurrences(j.spec) {
+		for step, spec := range j.spec.GetSteps() {
+			u := &unit{job: j, occurrence: occurrence, step: step, spec: spec, size: taskSize(spec)}
+			u.restore(progressOf(p, len(j.units)))
+			j.units = append(j.units, u)
+			if u.remaining > 0 {
+				j.open++
+			}
+		}
+	}
+	for _, u := range j.units {
+		u.tail = j.chainAfter(u.step)
+	}
+	return j
+}
+
+func progressOf(p *apiv1.JobProgress, position int) *apiv1.StepProgress {
+	if position < len(p.GetSteps()) {
+		return p.GetSteps()[position]
+	}
+	return nil
+}
+
+func (u *unit) restore(p *apiv1.StepProgress) {
+	u.remaining = int(u.spec.GetCount())
+	for i := range int(u.spec.GetCount()) {
+		t := &task{unit: u, index: i}
+		if i < len(p.GetDone()) && p.GetDone()[i] == 1 {
+			t.done = true
+			u.remaining--
+		}
+		if u.spec.GetGang() {
+			t.checkpoint = p.GetCheckpoints()[0]
+		} else {
+			t.checkpoint = p.GetCheckpoints()[int32(i)]
+		}
+		u.tasks = append(u.tasks, t)
+	}
+	for _, failed := range p.GetFailed() {
+		for _, number := range failed.GetRuns() {
+			u.noteRun(number)
+		}
+		if int(failed.GetIndex()) < len(u.tasks) {
+			u.tasks[failed.GetIndex()].failures = len(failed.GetRuns())
+		}
+	}
+}
+
+func (j *job) unit(occurrence, step int) *unit {
+	return j.units[occurrence*len(j.spec.GetSteps())+step]
+}
+
+// chainAfter returns the longest chain of estimates of the steps that wait for
+// the given one.
+func (j *job) chainAfter(step int) time.Duration {
+	steps := j.spec.GetSteps()
+	tails := make([]time.Duration, len(steps))
+	for i := len(steps) - 1; i >= step; i-- {
+		for _, before := range steps[i].GetDependsOn() {
+			if int(before) < i {
+				own := time.Duration(steps[i].GetEstimateMs()) * time.Millisecond
+				tails[before] = max(tails[before], own+tails[i])
+			}
+		}
+	}
+	return tails[step]
+}
+
+// chain returns the job's longest chain of estimates.
+func (j *job) chain() time.Duration {
+	var longest time.Duration
+	for step, spec := range j.spec.GetSteps() {
+		if len(spec.GetDependsOn()) == 0 {
+			longest = max(longest, time.Duration(spec.GetEstimateMs())*time.Millisecond+j.chainAfter(step))
+		}
+	}
+	return longest
+}
+
+// objective returns the time within which the job earns in full.
+func (j *job) objective() time.Duration {
+	stretched := time.Duration(j.queue.GetSlackFactor() * float64(j.chain()))
+	return stretched + time.Duration(j.queue.GetLatencyTargetMs())*time.Millisecond
+}
--- /dev/null
+++ b/internal/dispatch/pass.go
@@ -0,0 +1,178 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// ranked is a unit with its place in a pass.
+type ranked struct {
+	unit *unit
+	rank rank
+}
+
+// pass places what can be placed, in the order of rank.
+func (p *pool) pass() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.d.authority.left() <= 0 {
+		return
+	}
+	now := time.Now()
+	nowUnixMs := p.d.nowUnixMs()
+	reserved := make(map[*worker]bool)
+	for _, one := range p.order(now, nowUnixMs) {
+		p.serve(one.unit, reserved, now)
+	}
+}
+
+// order returns the units that have something to place, or advice to ask for.
+func (p *pool) order(now time.Time, nowUnixMs int64) []ranked {
+	var found []ranked
+	for _, j := range p.jobs {
+		for _, u := range j.units {
+			if u.remaining == 0 {
+				continue
+			}
+			if !u.ready(nowUnixMs) {
+				p.askAhead(u, now, nowUnixMs)
+				continue
+			}
+			if len(u.pending(now)) > 0 {
+				found = append(found, ranked{u, rankOf(u, now)})
+			}
+		}
+	}
+	slices.SortFunc(found, func(a, b ranked) int {
+		return cmp.Or(a.rank.compare(b.rank), cmp.Compare(a.unit.job.id, b.unit.job.id),
+			cmp.Compare(a.unit.occurrence, b.unit.occurrence), cmp.Compare(a.unit.step, b.unit.step))
+	})
+	return found
+}
+
+// askAhead asks for advice so early that it is there when the unit gets ready.
+func (p *pool) askAhead(u *unit, now time.Time, nowUnixMs int64) {
+	if !u.needsAdvice(now) || u.advice.tickets != nil {
+		return
+	}
+	cost := adviceCost(u.job.queue.GetPolicy(), maxNamed/2)
+	if nowUnixMs+cost.Milliseconds() < u.dueUnixMs() || !u.soonUnblocked(now, cost) {
+		return
+	}
+	p.ask(u, p.namesFor(u, int(u.spec.GetCount()), now), now)
+}
+
+// soonUnblocked reports whether all that the unit waits for runs and should be
+// done within the time.
+func (u *unit) soonUnblocked(now time.Time, within time.Duration) bool {
+	for _, number := range u.spec.GetDependsOn() {
+		before := u.job.unit(u.occurrence, int(number))
+		for _, t := range before.tasks {
+			if t.done {
+				continue
+			}
+			if t.run == nil || t.run.ordered.Add(before.estimate()-within).After(now) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// serve places the unit's waiting tasks, as far as there are workers with room.
+func (p *pool) serve(u *unit, reserved map[*worker]bool, now time.Time) {
+	waiting := u.pending(now)
+	candidates := p.candidates(u, reserved, now)
+	var placed []placement
+	if u.spec.GetGang() {
+		placed = p.placeGang(u, waiting, candidates)
+	} else {
+		placed = p.placeEach(u, waiting, candidates)
+	}
+	if len(placed) > 0 {
+		p.start(u, placed, now)
+	}
+	if len(placed) == len(waiting) {
+		return
+	}
+	if u.needsAdvice(now) {
+		p.askMore(u, len(waiting)-len(placed), now)
+	}
+	if u.spec.GetGang() {
+		p.reserve(u, len(waiting), reserved, now)
+	}
+}
+
+// candidates returns the workers that may run the unit's tasks now.
+func (p *pool) candidates(u *unit, reserved map[*worker]bool, now time.Time) []candidate {
+	var found []candidate
+	for _, w := range p.workers {
+		if reserved[w] || !w.free.fits(u.size) || !p.eligible(w, u, now) {
+			continue
+		}
+		one := candidate{worker: w, room: p.roomFor(w, u)}
+		if u.job.queue.GetPolicy() != nil {
+			value, ok := u.advice.valid(w, now)
+			if !ok {
+				continue
+			}
+			one.ticket = value
+		}
+		if w.health.failures >= failuresToSetAside {
+			one.room = min(one.room, 1)
+		}
+		if one.room > 0 {
+			found = append(found, one)
+		}
+	}
+	return found
+}
+
+func (p *pool) eligible(w *worker, u *unit, now time.Time) bool {
+	return w.usable(now) && w.hasLabel(u.spec.GetLabel())
+}
+
+// askMore asks about workers with room for which the unit has no ticket.
+func (p *pool) askMore(u *unit, tasks int, now time.Time) {
+	first := u.advice.tickets == nil
+	names := p.namesFor(u, tasks, now)
+	room := 0
+	for _, id := range names {
+		w := p.workers[id]
+		if _, ok := u.advice.valid(w, now); !ok {
+			room += p.roomFor(w, u)
+		}
+	}
+	if !first && (room == 0 || (u.spec.GetGang() && room < tasks)) {
+		return
+	}
+	p.ask(u, names, now)
+}
+
+// reservableShare is the part of a pool's workers that waiting gangs may keep
+// from later work.
+const reservableShare = 0.3
+
+// reserve keeps later units of the pass off the workers that a gang needs, so
+// that small work does not take their room piece by piece forever.
+func (p *pool) reserve(u *unit, tasks int, reserved map[*worker]bool, now time.Time) {
+	var usable []*worker
+	for _, w := range p.workers {
+		known := u.job.queue.GetPolicy() == nil || u.advice.allowed(w.record.GetId())
+		if known && !reserved[w] && p.eligible(w, u, now) {
+			usable = append(usable, w)
+		}
+	}
+	slices.SortFunc(usable, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(b.free.cpu, a.free.cpu), cmp.Compare(a.record.GetId(), b.record.GetId()))
+	})
+	limit := int(reservableShare * float64(len(p.workers)))
+	for _, w := range usable {
+		if tasks <= 0 || len(reserved) >= limit {
+			return
+		}
+		reserved[w] = true
+		tasks -= capacity(w.record).times(u.size)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/pool.go
@@ -0,0 +1,211 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+)
+
+// pool is a service's workers and the jobs that run on them.
+//
+// Invariants, while the lock is free:
+//   - a worker's free capacity is its capacity less the size of all its runs;
+//   - a task that is not done has at most one run, and no other run of it can
+//     still be under way or begin;
+//   - a run leaves its worker only when its end is listed, when the worker
+//     certainly does not have it and never will, or when the worker's life or
+//     lease is over.
+type pool struct {
+	d       *Dispatcher
+	service string
+	kick    chan struct{}
+
+	mu        sync.Mutex
+	workers   map[string]*worker
+	jobs      map[string]*job
+	shares    map[string]float64 // see allowedShare
+	unsettled map[string]time.Time
+}
+
+func newPool(d *Dispatcher, service string) *pool {
+	return &pool{
+		d: d, service: service, kick: make(chan struct{}, 1),
+		workers: make(map[string]*worker), jobs: make(map[string]*job),
+		shares: make(map[string]float64), unsettled: make(map[string]time.Time),
+	}
+}
+
+// run makes scheduling passes until the term ends.
+func (p *pool) run() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.d.ctx.Done():
+			return
+		case <-p.kick:
+			if sleep(p.d.ctx, passDelay) != nil {
+				return
+			}
+		case <-ticker.C:
+		}
+		p.pass()
+	}
+}
+
+// wake asks for a scheduling pass soon.
+func (p *pool) wake() {
+	select {
+	case p.kick <- struct{}{}:
+	default:
+	}
+}
+
+// inherit takes over a worker that the previous leader may have given orders.
+func (p *pool) inherit(record *apiv1.PoolWorker, waitOut time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unsettled[record.GetId()] = waitOut
+	w := p.addWorker(record)
+	w.leaseEnd = waitOut
+}
+
+// load takes over a job from the replicated table.
+func (p *pool) load(j *job, inherited bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.jobs[j.id] = j
+	nowUnixMs := p.d.nowUnixMs() + p.d.Times.Early.Milliseconds()
+	for _, u := range j.units {
+		for _, t := range u.tasks {
+			t.unclear = inherited && len(p.unsettled) > 0 && u.ready(nowUnixMs)
+		}
+	}
+	p.wake()
+}
+
+// add takes in a job that was accepted in this term.
+func (p *pool) add(j *job) { p.load(j, false) }
+
+// settle notes that what the previous leader started on a worker is known.
+// Once that holds for all of them, no task's whereabouts are unclear.
+func (p *pool) settle(id string) {
+	if _, ok := p.unsettled[id]; !ok {
+		return
+	}
+	delete(p.unsettled, id)
+	if len(p.unsettled) > 0 {
+		return
+	}
+	p.d.Logger.Info("all workers of the predecessor are settled", "service", p.service)
+	for _, j := range p.jobs {
+		for _, u := range j.units {
+			for _, t := range u.tasks {
+				t.unclear = false
+			}
+			if u.spec.GetGang() && u.remaining > 0 && u.torn() {
+				p.stopUnit(u, "members of the gang were lost with the former leader")
+			}
+		}
+	}
+	p.wake()
+}
+
+// addWorker begins to hold a worker. The caller holds the lock.
+func (p *pool) addWorker(record *apiv1.PoolWorker) *worker {
+	w := &worker{record: record, free: capacity(record), runs: make(map[runKey]*run)}
+	ctx, cancel := context.WithCancel(p.d.ctx)
+	w.cancel = cancel
+	w.leaving = record.GetGone()
+	p.workers[record.GetId()] = w
+	p.d.spawn(func() { p.hold(ctx, w) })
+	return w
+}
+
+// report takes in what a worker told of itself.
+func (p *pool) report(record *apiv1.PoolWorker) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := p.workers[record.GetId()]
+	switch {
+	case w == nil:
+		if !record.GetGone() {
+			p.d.Logger.Info("worker found", "worker", record.GetId(), "service", p.service,
+				"cpu_millis", record.GetCpuMillis(), "draining", record.GetDraining())
+			p.addWorker(record)
+		}
+	case w.record.GetBornUnixMs() < record.GetBornUnixMs():
+		p.lose(w, "a new life of the worker reported")
+		p.addWorker(record)
+	case w.record.GetBornUnixMs() == record.GetBornUnixMs():
+		if record.GetDraining() != w.record.GetDraining() || record.GetGone() != w.leaving {
+			p.d.Logger.Info("worker leaves", "worker", record.GetId(), "draining", record.GetDraining(), "gone", record.GetGone(), "runs", len(w.runs))
+		}
+		before := capacity(w.record)
+		w.record, w.leaving = record, record.GetGone()
+		w.free.add(capacity(record))
+		w.free.subtract(before)
+	}
+	p.wake()
+}
+
+// lose forgets a worker whose life is over: nothing runs there any longer.
+func (p *pool) lose(w *worker, reason string) {
+	p.d.Logger.Warn("worker lost", "worker", w.record.GetId(), "service", p.service, "reason", reason,
+		"runs", len(w.runs), "heard_ms_ago", time.Since(w.heard).Milliseconds())
+	p.d.counters.lostWorkers.Inc(1)
+	w.cancel()
+	if p.workers[w.record.GetId()] == w {
+		delete(p.workers, w.record.GetId())
+	}
+	for _, r := range w.runs {
+		p.vanish(r)
+	}
+	p.settle(w.record.GetId())
+	p.wake()
+}
+
+// vanish frees a run that is certainly over or never began, without an end.
+func (p *pool) vanish(r *run) {
+	delete(r.worker.runs, r.key())
+	r.worker.free.add(r.size)
+	if r.task == nil {
+		if r.size == (resources{}) {
+			r.worker.orphan--
+		}
+		return
+	}
+	p.d.counters.lostRuns.Inc(1)
+	if r.task.run != r {
+		return
+	}
+	r.task.run = nil
+	if r.task.unit.spec.GetGang() && !r.task.done {
+		p.stopUnit(r.task.unit, "a gang's member is gone")
+	}
+}
+
+// drop forgets a job and stops its runs.
+func (p *pool) drop(id, reason string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropLocked(id, reason)
+}
+
+func (p *pool) dropLocked(id, reason string) {
+	j := p.jobs[id]
+	if j == nil {
+		return
+	}
+	delete(p.jobs, id)
+	for _, u := range j.units {
+		for _, t := range u.tasks {
+			if t.run != nil {
+				p.stop(t.run, reason)
+			}
+		}
+	}
+	p.wake()
+}
--- /dev/null
+++ b/internal/dispatch/resources.go
@@ -0,0 +1,46 @@
+package dispatch
+
+import apiv1 "github.com/pistachioport/pistachioport/api/v1"
+
+// resources is an amount of a worker's capacity.
+type resources struct {
+	cpu, memory, accelerators int64 // thousandths of a core, MB, units
+}
+
+func taskSize(s *apiv1.JobStep) resources {
+	size := resources{cpu: s.GetCpuMillis(), memory: s.GetMemoryMb(), accelerators: s.GetAccelerators()}
+	if s.GetFiller() {
+		size.cpu = 0 // it only takes what others leave unused
+	}
+	return size
+}
+
+func capacity(w *apiv1.PoolWorker) resources {
+	return resources{cpu: w.GetCpuMillis(), memory: w.GetMemoryMb(), accelerators: w.GetAccelerators()}
+}
+
+func (r *resources) add(o resources) {
+	r.cpu += o.cpu
+	r.memory += o.memory
+	r.accelerators += o.accelerators
+}
+
+func (r *resources) subtract(o resources) {
+	r.cpu -= o.cpu
+	r.memory -= o.memory
+	r.accelerators -= o.accelerators
+}
+
+// times returns how many of size o fit into r.
+func (r resources) times(o resources) int {
+	const unlimited = 1 << 20
+	n := int64(unlimited)
+	for _, pair := range [][2]int64{{r.cpu, o.cpu}, {r.memory, o.memory}, {r.accelerators, o.accelerators}} {
+		if pair[1] > 0 {
+			n = min(n, max(0, pair[0])/pair[1])
+		}
+	}
+	return int(n)
+}
+
+func (r resources) fits(o resources) bool { return r.times(o) > 0 }
--- /dev/null
+++ b/internal/dispatch/task.go
@@ -0,0 +1,28 @@
+package dispatch
+
+import "time"
+
+// task is one task of a unit.
+type task struct {
+	unit       *unit
+	index      int
+	done       bool
+	run        *run // the present one; nil: none
+	failures   int
+	failedRuns map[int64]bool // counted in failures during this term
+	checkpoint string
+	failedOn   map[string]bool // workers on which it failed
+	notBefore  time.Time
+	// unclear: the previous leader may have started it on a worker that has not
+	// reported yet.
+	unclear bool
+}
+
+func (t *task) name() taskName {
+	return taskName{job: t.unit.job.id, occurrence: t.unit.occurrence, step: t.unit.step, index: t.index}
+}
+
+// pending reports whether the task waits for a start.
+func (t *task) pending(now time.Time) bool {
+	return !t.done && t.run == nil && !t.unclear && !now.Before(t.notBefore)
+}
--- /dev/null
+++ b/internal/dispatch/worker.go
@@ -0,0 +1,87 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+)
+
+// worker is one worker of a pool.
+type worker struct {
+	record *apiv1.PoolWorker
+	free   resources
+	runs   map[runKey]*run
+	orphan int // runs that nobody wants, of unknown size
+
+	// synced: a report under this term's token has told what runs here.
+	synced   bool
+	cursor   int64 // ends up to it are recorded
+	clockMs  int64 // on the worker's clock, not later than it was at clockAt
+	clockAt  time.Time
+	leaseEnd time.Time // when all leases that anyone granted here have run out
+	heard    time.Time // of the last report
+	refused  int       // consecutive calls that met no listener
+	health   health
+	cancel   context.CancelFunc // ends the hold loop
+	leaving  bool               // said that it leaves
+}
+
+// clockRate is the lowest rate of a worker's clock, as the platform states it.
+const clockRate = 0.98
+
+// leaseSlack is how long after its lease's end a worker may take to notice.
+const leaseSlack = 300 * time.Millisecond
+
+// deadline returns the time on the worker's clock that is certain to have come
+// once left has passed from now. It is 0 while the clock is not known.
+func (w *worker) deadline(now time.Time, left time.Duration) int64 {
+	if w.clockAt.IsZero() || left <= 0 {
+		return 0
+	}
+	return w.clockMs + int64(clockRate*float64((now.Sub(w.clockAt)+left).Milliseconds()))
+}
+
+// granted notes that leases were extended until left from now.
+func (w *worker) granted(now time.Time, left time.Duration) {
+	if end := now.Add(left); end.After(w.leaseEnd) {
+		w.leaseEnd = end
+	}
+}
+
+// learnClock takes over a reading that was made between the call and now.
+func (w *worker) learnClock(clockMs int64, now time.Time) {
+	if clockMs > 0 {
+		w.clockMs, w.clockAt = clockMs, now
+	}
+}
+
+// usable reports whether new tasks may be started here.
+func (w *worker) usable(now time.Time) bool {
+	return w.synced && w.orphan == 0 && !w.record.GetDraining() && !w.leaving && w.refused == 0 && w.health.usable(now)
+}
+
+func (w *worker) hasLabel(label string) bool {
+	return label == "" || slices.Contains(w.record.GetLabels(), label)
+}
+
+// rack returns the worker's rack: the label after its kind.
+func (w *worker) rack() string {
+	labels := w.record.GetLabels()
+	if len(labels) < 2 {
+		return ""
+	}
+	return labels[1]
+}
+
+// ofUnit counts the unit's runs here.
+func (w *worker) ofUnit(u *unit) int {
+	count := 0
+	for _, r := range w.runs {
+		if r.task != nil && r.task.unit == u {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,223 @@
+package intake
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/rpc"
+)
+
+const (
+	// leaderPatience is how long a call looks for a leader that was not told
+	// of it yet. A caller that is refused early can come back in time.
+	leaderPatience = 80 * time.Millisecond
+	// attemptTimeout is how long one control process may take for a call.
+	attemptTimeout = time.Second
+	// answerMargin is the time left for the answer's way to the caller.
+	answerMargin = 60 * time.Millisecond
+	// leaderRetryAfter is when a caller should come back while there is no
+	// leader: an election takes about that long.
+	leaderRetryAfter = 400 * time.Millisecond
+	joinEvery        = time.Second
+	// joinExpiry is how old the last contact with the leader may be while the
+	// entry asks for more callers.
+	joinExpiry = 3 * time.Second
+)
+
+// Config sets an Intake up.
+type Config struct {
+	Client        *rpc.Client
+	Name          string
+	Address       string // where this entry serves Advisor
+	FailureDomain string
+	Logger        *slog.Logger
+	Metrics       metrics.Registry
+}
+
+// Intake carries callers' calls to the leader.
+type Intake struct {
+	Config
+	jobs     apiv1.Jobs
+	joined   atomic.Int64 // Unix ms of the last contact with the leader
+	draining atomic.Bool
+	inFlight atomic.Int64
+	outcomes map[Outcome]metrics.Counter
+	took     metrics.Histogram
+}
+
+// New returns an Intake. Run must go on while it serves.
+func New(config Config) *Intake {
+	in := &Intake{Config: config, jobs: config.Client.Jobs(), outcomes: make(map[Outcome]metrics.Counter)}
+	for _, outcome := range []Outcome{Done, NoRoute, Unknown, Invalid, NotRun, Unclear} {
+		in.outcomes[outcome] = metrics.GetOrRegisterCounter("intake.calls."+string(outcome), config.Metrics)
+	}
+	const samples, alpha = 512, 0.015
+	in.took = metrics.GetOrRegisterHistogram("intake.call_ms", config.Metrics, metrics.NewExpDecaySample(samples, alpha))
+	return in
+}
+
+// Outcome is what became of a call.
+type Outcome string
+
+// Outcomes.
+const (
+	Done    Outcome = "done"
+	NoRoute Outcome = "no_route"
+	Unknown Outcome = "unknown_job"
+	Invalid Outcome = "invalid"
+	NotRun  Outcome = "not_run" // it had no effect and never will
+	Unclear Outcome = "unclear" // it may have had an effect
+)
+
+// Answer is the answer to a call.
+type Answer struct {
+	Outcome    Outcome
+	Reason     string
+	RetryAfter time.Duration // after which a refused call has better prospects
+	State      apiv1.JobState
+	IsQueue    bool
+	Pending    int64
+}
+
+// Submit hands a job in.
+func (in *Intake) Submit(ctx context.Context, request *apiv1.SubmitJobRequest) Answer {
+	return in.call(ctx, "submit", request.GetPath(), func(ctx context.Context) (Answer, error) {
+		response, err := in.jobs.Submit(ctx, request)
+		switch {
+		case err != nil:
+			return Answer{}, err
+		case response.GetNoRoute():
+			return Answer{Outcome: NoRoute}, nil
+		case response.GetInvalid():
+			return Answer{Outcome: Invalid, Reason: response.GetReason()}, nil
+		case response.GetRefused():
+			return Answer{
+				Outcome: NotRun, Reason: response.GetReason(),
+				RetryAfter: time.Duration(response.GetRetryAfterMs()) * time.Millisecond,
+			}, nil
+		}
+		return Answer{Outcome: Done}, nil
+	})
+}
+
+// Read asks for a job's state, or for a queue's pending jobs.
+func (in *Intake) Read(ctx context.Context, host, path string) Answer {
+	return in.call(ctx, "read", path, func(ctx context.Context) (Answer, error) {
+		response, err := in.jobs.Read(ctx, &apiv1.ReadJobRequest{Host: host, Path: path})
+		switch {
+		case err != nil:
+			return Answer{}, err
+		case response.GetNoRoute():
+			return Answer{Outcome: NoRoute}, nil
+		case response.GetUnknown():
+			return Answer{Outcome: Unknown}, nil
+		}
+		return Answer{
+			Outcome: Done, State: response.GetState(), IsQueue: response.GetIsQueue(), Pending: response.GetPending(),
+		}, nil
+	})
+}
+
+// Cancel cancels a job.
+func (in *Intake) Cancel(ctx context.Context, host, path string) Answer {
+	return in.call(ctx, "cancel", path, func(ctx context.Context) (Answer, error) {
+		response, err := in.jobs.Cancel(ctx, &apiv1.CancelJobRequest{Host: host, Path: path})
+		switch {
+		case err != nil:
+			return Answer{}, err
+		case response.GetNoRoute():
+			return Answer{Outcome: NoRoute}, nil
+		case response.GetUnknown():
+			return Answer{Outcome: Unknown}, nil
+		}
+		return Answer{Outcome: Done}, nil
+	})
+}
+
+// call makes one call within the caller's deadline, which ctx carries.
+func (in *Intake) call(ctx context.Context, kind, path string, do func(context.Context) (Answer, error)) Answer {
+	in.inFlight.Add(1)
+	defer in.inFlight.Add(-1)
+	begin := time.Now()
+	if deadline, ok := ctx.Deadline(); ok {
+		shorter, cancel := context.WithDeadline(ctx, deadline.Add(-answerMargin))
+		defer cancel()
+		ctx = shorter
+	}
+	ctx = rpc.WithAttemptTimeout(rpc.WithPatience(ctx, leaderPatience), attemptTimeout)
+	answer, err := do(ctx)
+	if err != nil {
+		answer = in.failed(err)
+	}
+	took := time.Since(begin)
+	in.outcomes[answer.Outcome].Inc(1)
+	in.took.Update(took.Milliseconds())
+	if answer.Outcome != Done || kind != "read" {
+		in.Logger.Info("call answered", "kind", kind, "path", path, "outcome", string(answer.Outcome),
+			"reason", answer.Reason, "took_ms", took.Milliseconds(), "leader", in.Client.Leader())
+	}
+	return answer
+}
+
+func (in *Intake) failed(err error) Answer {
+	if errors.Is(err, rpc.ErrNotDone) || rpc.IsRefused(err) {
+		return Answer{Outcome: NotRun, Reason: err.Error(), RetryAfter: leaderRetryAfter}
+	}
+	return Answer{Outcome: Unclear, Reason: err.Error()}
+}
+
+// Ready reports whether more callers should be sent here.
+func (in *Intake) Ready() bool {
+	age := time.Since(time.UnixMilli(in.joined.Load()))
+	return !in.draining.Load() && age < joinExpiry
+}
+
+// BeginDrain asks for no more callers. Those that come are still served.
+func (in *Intake) BeginDrain() { in.draining.Store(true) }
+
+// AwaitIdle waits until no call is in flight or ctx ends.
+func (in *Intake) AwaitIdle(ctx context.Context) {
+	const look = 20 * time.Millisecond
+	for in.inFlight.Load() > 0 && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(look):
+		}
+	}
+}
+
+// Draining reports whether the entry shuts down.
+func (in *Intake) Draining() bool { return in.draining.Load() }
+
+// Run keeps the leader told that this entry is there until ctx ends.
+func (in *Intake) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, joinEvery)
+		response, err := in.jobs.Join(call, &apiv1.JoinRequest{
+			Name: in.Name, Address: in.Address, FailureDomain: in.FailureDomain,
+		})
+		cancel()
+		in.noteJoin(response, err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(joinEvery):
+		}
+	}
+}
+
+func (in *Intake) noteJoin(response *apiv1.JoinResponse, err error) {
+	was := in.Ready()
+	if err == nil {
+		in.joined.Store(time.Now().UnixMilli())
+		in.Client.SetAddresses(response.GetControlAddresses())
+	}
+	if is := in.Ready(); is != was {
+		in.Logger.Info("contact with the leader changed", "ready", is, "leader", in.Client.Leader(), "error", err)
+	}
+}
--- /dev/null
+++ b/internal/intake/policy.go
@@ -0,0 +1,22 @@
+package intake
+
+import (
+	"context"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+)
+
+// PolicyClient asks the policy service which workers may run a step.
+type PolicyClient interface {
+	Advise(ctx context.Context, step string, workers []string) (*apiv1.AdviseResponse, error)
+}
+
+// AdvisorService asks the policy service for the leader.
+type AdvisorService struct{ Policy PolicyClient }
+
+var _ apiv1.Advisor = AdvisorService{}
+
+// Advise implements apiv1.Advisor.
+func (s AdvisorService) Advise(ctx context.Context, request *apiv1.AdviseRequest) (*apiv1.AdviseResponse, error) {
+	return s.Policy.Advise(ctx, request.GetStep(), request.GetWorkers())
+}
--- a/internal/rpc/do.go
+++ b/internal/rpc/do.go
@@ -31,6 +31,7 @@
 // retry makes attempts until one is answered.
 func (c *Client) retry(request *http.Request, body []byte) (*http.Response, error) {
 	ctx := request.Context()
+	fate := newFate(ctx)
 	for tries := 1; ; tries++ {
 		address := c.directory.pick()
 		if address == "" {
@@ -48,9 +49,12 @@
 			}
 			c.directory.follow(leader, address)
 			err = errors.Newf("%s does not lead", address)
+			fate.refused(result)
+		} else {
+			fate.failed(err)
 		}
-		if !c.pause(ctx, tries) {
-			return nil, errors.Wrapf(errors.Mark(err, ErrUnreachable), "gave up after %d attempts", tries)
+		if fate.giveUp() || !c.pause(ctx, tries) {
+			return nil, errors.Wrapf(fate.mark(errors.Mark(err, ErrUnreachable)), "gave up after %d attempts", tries)
 		}
 	}
 }
--- /dev/null
+++ b/internal/state/jobs/job.go
@@ -0,0 +1,189 @@
+package jobs
+
+import (
+	"slices"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+)
+
+// job is one accepted job and how far it has come.
+type job struct {
+	accepted       *apiv1.CallerJob
+	state          apiv1.JobState // unspecified while it is open
+	finishedUnixMs int64
+	steps          []*step // by occurrence, then step; nil: nothing has ended
+	remaining      int     // tasks not done; long-running ones count and never end
+	begun          bool    // local hint, see Table.MarkBegun
+}
+
+// step is the progress of one step in one occurrence.
+type step struct {
+	done        []byte // 1 for a task that is done
+	failed      map[int32][]int64
+	checkpoints map[int32]string
+}
+
+func newJob(accepted *apiv1.CallerJob) *job {
+	occurrences := Occurrences(accepted.GetSpec())
+	j := &job{accepted: accepted, steps: make([]*step, occurrences*len(accepted.GetSpec().GetSteps()))}
+	for _, s := range accepted.GetSpec().GetSteps() {
+		j.remaining += occurrences * int(s.GetCount())
+	}
+	return j
+}
+
+// Occurrences returns how many times a job's steps run.
+func Occurrences(spec *apiv1.JobSpec) int {
+	return max(1, int(spec.GetRepeatCount()))
+}
+
+func (j *job) finished() bool {
+	return j.state != apiv1.JobState_JOB_STATE_UNSPECIFIED
+}
+
+func (j *job) shownState() apiv1.JobState {
+	switch {
+	case j.finished():
+		return j.state
+	case j.begun:
+		return apiv1.JobState_JOB_STATE_RUNNING
+	default:
+		return apiv1.JobState_JOB_STATE_QUEUED
+	}
+}
+
+// finish ends the job. A job finishes once.
+func (j *job) finish(nowUnixMs int64, state apiv1.JobState) {
+	if j.finished() {
+		return
+	}
+	j.state = state
+	j.finishedUnixMs = nowUnixMs
+	j.steps = nil
+	j.accepted = &apiv1.CallerJob{
+		Id: j.accepted.GetId(), Queue: &apiv1.Queue{Name: j.accepted.GetQueue().GetName()},
+		AcceptedUnixMs: j.accepted.GetAcceptedUnixMs(),
+	}
+}
+
+// end takes in the end of a run. The same end may come again.
+func (j *job) end(nowUnixMs int64, end *apiv1.RunEnd) {
+	if j.finished() {
+		return
+	}
+	j.begun = true
+	s, spec := j.step(end)
+	if s == nil {
+		return
+	}
+	index := end.GetIndex()
+	switch end.GetOutcome() {
+	case apiv1.RunOutcome_RUN_OUTCOME_DONE:
+		j.taskDone(s, spec, index)
+	case apiv1.RunOutcome_RUN_OUTCOME_FAILED:
+		if s.done[index] == 0 && !spec.GetLongRunning() {
+			if s.addFailure(failureIndex(spec, index), end.GetRun()) >= max(1, int(j.accepted.GetQueue().GetMaxAttempts())) {
+				j.finish(nowUnixMs, apiv1.JobState_JOB_STATE_FAILED)
+				return
+			}
+		}
+	}
+	if end.GetCheckpoint() != "" && spec.GetCheckpointing() {
+		s.checkpoints[failureIndex(spec, index)] = end.GetCheckpoint()
+	}
+	if j.remaining == 0 {
+		j.finish(nowUnixMs, apiv1.JobState_JOB_STATE_COMPLETED)
+	}
+}
+
+// failureIndex is the index under which a task's failures and checkpoint are
+// kept: a gang's members share theirs.
+func failureIndex(spec *apiv1.JobStep, index int32) int32 {
+	if spec.GetGang() {
+		return 0
+	}
+	return index
+}
+
+func (j *job) taskDone(s *step, spec *apiv1.JobStep, index int32) {
+	if spec.GetGang() {
+		for i := range s.done {
+			j.markDone(s, i)
+		}
+		return
+	}
+	j.markDone(s, int(index))
+}
+
+func (j *job) markDone(s *step, index int) {
+	if s.done[index] == 0 {
+		s.done[index] = 1
+		j.remaining--
+	}
+}
+
+// step returns the progress that the end belongs to, or nil if the job has no
+// such task.
+func (j *job) step(end *apiv1.RunEnd) (*step, *apiv1.JobStep) {
+	steps := j.accepted.GetSpec().GetSteps()
+	at := int(end.GetStep())
+	occurrence := int(end.GetOccurrence())
+	if at < 0 || at >= len(steps) || occurrence < 0 || occurrence >= Occurrences(j.accepted.GetSpec()) {
+		return nil, nil
+	}
+	spec := steps[at]
+	if end.GetIndex() < 0 || end.GetIndex() >= spec.GetCount() {
+		return nil, nil
+	}
+	position := occurrence*len(steps) + at
+	if j.steps[position] == nil {
+		j.steps[position] = newStep(spec)
+	}
+	return j.steps[position], spec
+}
+
+func newStep(spec *apiv1.JobStep) *step {
+	return &step{
+		done:        make([]byte, spec.GetCount()),
+		failed:      make(map[int32][]int64),
+		checkpoints: make(map[int32]string),
+	}
+}
+
+// addFailure notes a failed run and returns how many there are.
+func (s *step) addFailure(index int32, run int64) int {
+	if !slices.Contains(s.failed[index], run) {
+		s.failed[index] = append(s.failed[index], run)
+	}
+	return len(s.failed[index])
+}
+
+// progress returns a copy that does not change.
+func (j *job) progress() *apiv1.JobProgress {
+	p := &apiv1.JobProgress{Job: j.accepted, State: j.state, FinishedUnixMs: j.finishedUnixMs, Begun: j.begun}
+	for _, s := range j.steps {
+		p.Steps = append(p.Steps, s.progress())
+	}
+	return p
+}
+
+func (s *step) progress() *apiv1.StepProgress {
+	p := &apiv1.StepProgress{}
+	if s == nil {
+		return p
+	}
+	p.Done = slices.Clone(s.done)
+	indexes := make([]int32, 0, len(s.failed))
+	for index := range s.failed {
+		indexes = append(indexes, index)
+	}
+	slices.Sort(indexes)
+	for _, index := range indexes {
+		p.Failed = append(p.Failed, &apiv1.FailedRuns{Index: index, Runs: slices.Clone(s.failed[index])})
+	}
+	p.Checkpoints = make(map[int32]string, len(s.checkpoints))
+	for index, checkpoint := range s.checkpoints {
+		p.Checkpoints[index] = checkpoint
+	}
+	return p
+}
--- /dev/null
+++ b/internal/state/jobs/table.go
@@ -0,0 +1,187 @@
+package jobs
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+)
+
+const shardCount = 16
+
+// Table is the replicated table of jobs.
+type Table struct {
+	shards  [shardCount]shard
+	catalog atomic.Pointer[Catalog]
+
+	mu      sync.RWMutex
+	workers map[string]*apiv1.PoolWorker // by id; the newest life
+}
+
+// shard is a part of the jobs under a lock of its own.
+type shard struct {
+	mu   sync.RWMutex
+	jobs map[string]*job
+}
+
+// New returns an empty table.
+func New() *Table {
+	t := &Table{workers: make(map[string]*apiv1.PoolWorker)}
+	for i := range t.shards {
+		t.shards[i].jobs = make(map[string]*job)
+	}
+	t.catalog.Store(newCatalog(&apiv1.Catalog{}))
+	return t
+}
+
+func (t *Table) shard(id string) *shard {
+	return &t.shards[xxhash.Sum64String(id)%shardCount]
+}
+
+// Apply takes one committed command.
+func (t *Table) Apply(nowUnixMs int64, command *apiv1.JobsCommand) *apiv1.JobsResult {
+	result := &apiv1.JobsResult{}
+	if published := command.GetCatalog(); published != nil {
+		t.publish(published)
+	}
+	for _, worker := range command.GetWorkers() {
+		t.setWorker(worker)
+	}
+	for _, accepted := range command.GetAccept() {
+		result.Accepted = append(result.Accepted, t.accept(accepted))
+	}
+	for _, end := range command.GetEnds() {
+		t.end(nowUnixMs, end)
+	}
+	for _, id := range command.GetCancel() {
+		result.Cancelled = append(result.Cancelled, t.cancel(nowUnixMs, id))
+	}
+	for _, id := range command.GetForgetJobs() {
+		t.forget(id)
+	}
+	t.forgetWorkers(command.GetForgetWorkers())
+	result.CatalogVersion = t.Catalog().Version()
+	return result
+}
+
+// publish puts a catalog in force unless it is not newer than the present one.
+func (t *Table) publish(published *apiv1.Catalog) {
+	if published.GetVersion() > t.Catalog().Version() {
+		t.catalog.Store(newCatalog(published))
+	}
+}
+
+// Catalog returns the catalog in force.
+func (t *Table) Catalog() *Catalog {
+	return t.catalog.Load()
+}
+
+func (t *Table) accept(accepted *apiv1.CallerJob) bool {
+	s := t.shard(accepted.GetId())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.jobs[accepted.GetId()] != nil {
+		return false
+	}
+	s.jobs[accepted.GetId()] = newJob(accepted)
+	return true
+}
+
+func (t *Table) end(nowUnixMs int64, end *apiv1.RunEnd) {
+	s := t.shard(end.GetJob())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if j := s.jobs[end.GetJob()]; j != nil {
+		j.end(nowUnixMs, end)
+	}
+}
+
+func (t *Table) cancel(nowUnixMs int64, id string) bool {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j := s.jobs[id]
+	if j == nil {
+		return false
+	}
+	j.finish(nowUnixMs, apiv1.JobState_JOB_STATE_CANCELLED)
+	return true
+}
+
+func (t *Table) forget(id string) {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if j := s.jobs[id]; j != nil && j.finished() {
+		delete(s.jobs, id)
+	}
+}
+
+// State returns a job's state. It is false if no such job is known.
+func (t *Table) State(id string) (apiv1.JobState, bool) {
+	s := t.shard(id)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	j := s.jobs[id]
+	if j == nil {
+		return apiv1.JobState_JOB_STATE_UNSPECIFIED, false
+	}
+	return j.shownState(), true
+}
+
+// MarkBegun notes that a task of the job has been started. The note is local:
+// after a change of leader the new one makes it again.
+func (t *Table) MarkBegun(id string) {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if j := s.jobs[id]; j != nil {
+		j.begun = true
+	}
+}
+
+// Pending returns how many open jobs of a queue have not begun.
+func (t *Table) Pending(queue string) int64 {
+	var pending int64
+	t.each(func(j *job) {
+		if !j.finished() && !j.begun && j.accepted.GetQueue().GetName() == queue {
+			pending++
+		}
+	})
+	return pending
+}
+
+// Open returns copies of all jobs that have not finished.
+func (t *Table) Open() []*apiv1.JobProgress {
+	var open []*apiv1.JobProgress
+	t.each(func(j *job) {
+		if !j.finished() {
+			open = append(open, j.progress())
+		}
+	})
+	return open
+}
+
+// FinishedBefore returns up to limit jobs that finished before the time.
+func (t *Table) FinishedBefore(unixMs int64, limit int) []string {
+	var ids []string
+	t.each(func(j *job) {
+		if j.finished() && j.finishedUnixMs < unixMs && len(ids) < limit {
+			ids = append(ids, j.accepted.GetId())
+		}
+	})
+	return ids
+}
+
+func (t *Table) each(visit func(*job)) {
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.RLock()
+		for _, j := range s.jobs {
+			visit(j)
+		}
+		s.mu.RUnlock()
+	}
+}
--- a/internal/state/options.go
+++ b/internal/state/options.go
@@ -5,4 +5,5 @@
 type Options struct {
 	Claims ClaimsTable
 	Tasks  TasksTable
+	Jobs   JobsTable
 }
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -30,6 +30,11 @@
 			return nil, errors.Wrap(err, "snapshot tasks")
 		}
 	}
+	if s.jobs != nil {
+		if snapshot.Jobs, err = s.jobs.Snapshot(); err != nil {
+			return nil, errors.Wrap(err, "snapshot jobs")
+		}
+	}
 	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 	return encoded, errors.Wrap(err, "encode snapshot")
 }
@@ -50,6 +55,11 @@
 			return errors.Wrap(err, "restore tasks")
 		}
 	}
+	if s.jobs != nil {
+		if err := s.jobs.Restore(snapshot.GetJobs()); err != nil {
+			return errors.Wrap(err, "restore jobs")
+		}
+	}
 	s.configuration.restore(snapshot.GetConfiguration())
 	s.endpoints.restore(snapshot.GetEndpoints())
 	s.audit.restore(snapshot.GetAudit())
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -12,6 +12,7 @@
 type Store struct {
 	claims ClaimsTable
 	tasks  TasksTable
+	jobs   JobsTable
 
 	configuration *configurationTable
 	endpoints     *endpointTable
@@ -32,6 +33,7 @@
 	return &Store{
 		claims:        options.Claims,
 		tasks:         options.Tasks,
+		jobs:          options.Jobs,
 		configuration: newConfigurationTable(),
 		endpoints:     newEndpointTable(),
 		audit:         newAuditTable(),
@@ -63,6 +65,8 @@
 		return s.applyPlacement(now, body.Placement)
 	case *apiv1.Command_Audit:
 		return s.applyAudit(now, body.Audit)
+	case *apiv1.Command_Jobs:
+		return s.applyJobs(now, body.Jobs)
 	default:
 		return refuse(RefusalInvalid, "the command has no body that this version knows")
 	}
@@ -84,6 +88,14 @@
 	return &apiv1.CommandResult{Body: &apiv1.CommandResult_Placement{Placement: result}}
 }
 
+func (s *Store) applyJobs(now int64, command *apiv1.JobsCommand) *apiv1.CommandResult {
+	if s.jobs == nil {
+		return refuse(RefusalAbsent, "this process keeps no callers' jobs")
+	}
+	result := s.jobs.Apply(now, command)
+	return &apiv1.CommandResult{Body: &apiv1.CommandResult_Jobs{Jobs: result}}
+}
+
 func (s *Store) applyAudit(now int64, command *apiv1.AuditCommand) *apiv1.CommandResult {
 	for _, record := range command.GetRecords() {
 		s.audit.add(now, record)
--- a/internal/state/tables.go
+++ b/internal/state/tables.go
@@ -20,3 +20,10 @@
 	Snapshot() ([]byte, error)
 	Restore(snapshot []byte) error
 }
+
+// JobsTable keeps the jobs that callers hand in.
+type JobsTable interface {
+	Apply(nowUnixMs int64, command *apiv1.JobsCommand) *apiv1.JobsResult
+	Snapshot() ([]byte, error)
+	Restore(snapshot []byte) error
+}
