Dispatcher: workers that stay silent are given up, failures are counted once

Jobs whose commit outlived its proposer's patience were unknown to the dispatcher: the table now tells it of what is applied.

--- a/internal/control/jobs_service.go
+++ b/internal/control/jobs_service.go
@@ -56,7 +56,6 @@
 	if result.GetAccepted()[0] {
 		s.Logger.Info("job accepted", "job", id, "queue", queue.GetName(), "catalog", result.GetCatalogVersion(),
 			"steps", len(accepted.GetSpec().GetSteps()), "repeats", accepted.GetSpec().GetRepeatCount())
-		l.dispatch.JobAccepted(accepted)
 	}
 	return &apiv1.SubmitJobResponse{}, nil
 }
@@ -104,7 +103,6 @@
 	}
 	known := result.GetCancelled()[0]
 	s.Logger.Info("job cancelled", "job", id, "queue", queue.GetName(), "known", known)
-	l.dispatch.JobCancelled(id)
 	return &apiv1.CancelJobResponse{Unknown: !known}, nil
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -47,6 +47,7 @@
 // Run takes over from the previous leader and gives orders until the term ends.
 func (d *Dispatcher) Run() error {
 	defer func() {
+		d.Table.Observe(nil)
 		d.cancel()
 		_ = d.tasks.Wait()
 	}()
@@ -88,6 +89,7 @@
 		return errors.Wrap(err, "confirm the new leadership")
 	}
 	d.authority.confirm(began)
+	d.Table.Observe(d)
 	now := time.Now()
 	nowUnixMs := d.nowUnixMs()
 	waitOut := now.Add(time.Duration(float64(d.Times.lease())/clockRate) + leaseSlack)
@@ -136,13 +138,13 @@
 	})
 }
 
-// JobAccepted takes in a job whose acceptance is committed.
+// JobAccepted takes in a job whose acceptance has been applied.
 func (d *Dispatcher) JobAccepted(accepted *apiv1.CallerJob) {
 	j := newJob(&apiv1.JobProgress{Job: accepted}, time.Now(), d.nowUnixMs())
 	d.pool(accepted.GetQueue().GetService()).add(j)
 }
 
-// JobCancelled stops what runs of a job whose cancellation is committed.
+// JobCancelled stops what runs of a job whose cancellation has been applied.
 func (d *Dispatcher) JobCancelled(id string) {
 	d.mu.Lock()
 	pools := make([]*pool, 0, len(d.pools))
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -107,24 +107,18 @@
 	if u.spec.GetGang() {
 		counted = u.tasks[0]
 	}
-	if counted.failedRuns == nil {
-		counted.failedRuns = make(map[int64]bool)
-	}
-	if !counted.failedRuns[number] {
-		counted.failedRuns[number] = true
-		counted.failures++
-	}
+	counted.countFailure(number)
 	if t.failedOn == nil {
 		t.failedOn = make(map[string]bool)
 	}
 	t.failedOn[w.record.GetId()] = true
-	if !u.spec.GetLongRunning() && counted.failures >= max(1, int(u.job.queue.GetMaxAttempts())) {
-		p.d.Logger.Info("job failed", "job", u.job.id, "queue", u.job.queue.GetName(), "task", t.name().String(), "failures", counted.failures)
+	if !u.spec.GetLongRunning() && counted.failures() >= max(1, int(u.job.queue.GetMaxAttempts())) {
+		p.d.Logger.Info("job failed", "job", u.job.id, "queue", u.job.queue.GetName(), "task", t.name().String(), "failures", counted.failures())
 		p.dropLocked(u.job.id, "job failed")
 		return
 	}
 	if u.spec.GetLongRunning() {
-		t.notBefore = now.Add(min(longRunningPause<<min(counted.failures, 4), longestPause))
+		t.notBefore = now.Add(min(longRunningPause<<min(counted.failures(), 4), longestPause))
 	}
 }
 
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -50,9 +50,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	order := HoldOrder{Token: p.d.term, Cursor: w.cursor}
-	left := p.d.authority.left()
-	if order.Deadline = w.deadline(now, left); order.Deadline > 0 {
-		w.granted(now, left)
+	// A worker that did not answer gets no extension: an order without an answer
+	// may be carried out late, and its leases would never be certain to end.
+	if left := p.d.authority.left(); w.refused == 0 {
+		if order.Deadline = w.deadline(now, left); order.Deadline > 0 {
+			w.granted(now, left)
+		}
 	}
 	if w.synced && !p.stopsPending(w) && w.refused == 0 {
 		order.WaitMs = min(holdWait, p.d.Times.lease()/3).Milliseconds()
@@ -90,15 +93,24 @@
 	default:
 		w.refused = max(w.refused, 1)
 	}
-	if now.After(w.leaseEnd.Add(leaseSlack)) && (len(w.runs) > 0 || p.unsettled[w.record.GetId()] != (time.Time{})) {
+	if now.After(w.leaseEnd.Add(leaseSlack)) && (w.synced || w.leaving || len(w.runs) > 0 || p.isUnsettled(w)) {
 		p.lapse(w)
 	}
-	return true
+	return p.workers[w.record.GetId()] == w
+}
+
+func (p *pool) isUnsettled(w *worker) bool {
+	_, ok := p.unsettled[w.record.GetId()]
+	return ok
 }
 
 // lapse takes all runs of a worker that did not answer until its leases ran out
 // for ended. What else it may hold is asked for when it answers again.
 func (p *pool) lapse(w *worker) {
+	if w.leaving {
+		p.lose(w, "it left")
+		return
+	}
 	p.d.Logger.Warn("leases lapsed", "worker", w.record.GetId(), "runs", len(w.runs))
 	for _, r := range w.runs {
 		p.vanish(r)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -64,11 +64,12 @@
 		u.tasks = append(u.tasks, t)
 	}
 	for _, failed := range p.GetFailed() {
+		if int(failed.GetIndex()) >= len(u.tasks) {
+			continue
+		}
 		for _, number := range failed.GetRuns() {
 			u.noteRun(number)
-		}
-		if int(failed.GetIndex()) < len(u.tasks) {
-			u.tasks[failed.GetIndex()].failures = len(failed.GetRuns())
+			u.tasks[failed.GetIndex()].countFailure(number)
 		}
 	}
 }
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -76,6 +76,9 @@
 func (p *pool) load(j *job, inherited bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.jobs[j.id] != nil {
+		return
+	}
 	p.jobs[j.id] = j
 	nowUnixMs := p.d.nowUnixMs() + p.d.Times.Early.Milliseconds()
 	for _, u := range j.units {
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -8,8 +8,7 @@
 	index      int
 	done       bool
 	run        *run // the present one; nil: none
-	failures   int
-	failedRuns map[int64]bool // counted in failures during this term
+	failedRuns map[int64]bool // numbers of the runs that failed
 	checkpoint string
 	failedOn   map[string]bool // workers on which it failed
 	notBefore  time.Time
@@ -26,3 +25,14 @@
 func (t *task) pending(now time.Time) bool {
 	return !t.done && t.run == nil && !t.unclear && !now.Before(t.notBefore)
 }
+
+// countFailure notes a failed run. The same end may come again, also under
+// another leader.
+func (t *task) countFailure(number int64) {
+	if t.failedRuns == nil {
+		t.failedRuns = make(map[int64]bool)
+	}
+	t.failedRuns[number] = true
+}
+
+func (t *task) failures() int { return len(t.failedRuns) }
--- a/internal/state/jobs/table.go
+++ b/internal/state/jobs/table.go
@@ -16,6 +16,8 @@
 	shards  [shardCount]shard
 	catalog atomic.Pointer[Catalog]
 
+	observer atomic.Pointer[Observer]
+
 	mu      sync.RWMutex
 	workers map[string]*apiv1.PoolWorker // by id; the newest life
 }
@@ -26,6 +28,22 @@
 	jobs map[string]*job
 }
 
+// Observer is told of changes as they are applied, also of those whose proposer
+// has given up waiting. It must not block.
+type Observer interface {
+	JobAccepted(job *apiv1.CallerJob)
+	JobCancelled(id string)
+}
+
+// Observe sets the one observer; nil: none.
+func (t *Table) Observe(observer Observer) {
+	if observer == nil {
+		t.observer.Store(nil)
+		return
+	}
+	t.observer.Store(&observer)
+}
+
 // New returns an empty table.
 func New() *Table {
 	t := &Table{workers: make(map[string]*apiv1.PoolWorker)}
@@ -50,13 +68,20 @@
 		t.setWorker(worker)
 	}
 	for _, accepted := range command.GetAccept() {
-		result.Accepted = append(result.Accepted, t.accept(accepted))
+		isNew := t.accept(accepted)
+		result.Accepted = append(result.Accepted, isNew)
+		if observer := t.observer.Load(); observer != nil && isNew {
+			(*observer).JobAccepted(accepted)
+		}
 	}
 	for _, end := range command.GetEnds() {
 		t.end(nowUnixMs, end)
 	}
 	for _, id := range command.GetCancel() {
 		result.Cancelled = append(result.Cancelled, t.cancel(nowUnixMs, id))
+		if observer := t.observer.Load(); observer != nil {
+			(*observer).JobCancelled(id)
+		}
 	}
 	for _, id := range command.GetForgetJobs() {
 		t.forget(id)
