--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -24,6 +24,9 @@
 	cancel context.CancelFunc
 	tasks  errgroup.Group
 
+	spawning sync.RWMutex
+	ended    bool // no task may begin any more
+
 	mu     sync.Mutex
 	pools  map[string]*pool // by service
 	loaded bool
@@ -49,6 +52,9 @@
 	defer func() {
 		d.Table.Observe(nil)
 		d.cancel()
+		d.spawning.Lock()
+		d.ended = true
+		d.spawning.Unlock()
 		_ = d.tasks.Wait()
 	}()
 	if err := d.takeOver(); err != nil {
@@ -131,7 +137,13 @@
 	return p
 }
 
+// spawn does work beside the caller's, unless the term is over.
 func (d *Dispatcher) spawn(work func()) {
+	d.spawning.RLock()
+	defer d.spawning.RUnlock()
+	if d.ended {
+		return
+	}
 	d.tasks.Go(func() error {
 		work()
 		return nil
