--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -22,7 +22,7 @@
 	peers        *peerClients
 	leadership   atomic.Pointer[leadership] // nil while another process leads
 	candidates   candidates
-	formOperator atomic.Pointer[string]     // who asked this process to form a cluster
+	formOperator atomic.Pointer[string] // who asked this process to form a cluster
 }
 
 // New returns a server that serves nothing before its handler is mounted and
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -7,7 +7,7 @@
 	unit       *unit
 	index      int
 	done       bool
-	run        *run // the present one; nil: none
+	run        *run           // the present one; nil: none
 	failedRuns map[int64]bool // numbers of the runs that failed
 	checkpoint string
 	failedOn   map[string]bool // workers on which it failed
