TestWithdrawal waits until the withdrawal is in force, and never hangs

The test sent its requests before the entry had been told of the withdrawal, which the product allows (in force within the lease), and a failed check then waited forever for the endpoint's blocked request. The check is as strict: once the entry knows, none of 50 requests arrives.

--- a/internal/entry/control_test.go
+++ b/internal/entry/control_test.go
@@ -38,6 +38,7 @@
 	onTake    func()                       // called before a take is answered
 	renewDown bool                         // answers no renewal
 	refused   int                          // claim changes while down
+	known     uint64                       // newest revision that a renewal said it knows
 }
 
 func newControl(t testing.TB, config *apiv1.Configuration) *control {
@@ -99,6 +100,13 @@
 	c.bump()
 }
 
+// allKnown reports whether an entry has taken in all changes so far.
+func (c *control) allKnown() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.known >= c.revision
+}
+
 func (c *control) setDown(down bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -130,6 +138,9 @@
 
 // Renew implements apiv1.EntryLink.
 func (c *control) Renew(ctx context.Context, request *apiv1.RenewEntryRequest) (*apiv1.RenewEntryResponse, error) {
+	c.mu.Lock()
+	c.known = max(c.known, request.GetKnownRevision())
+	c.mu.Unlock()
 	c.wait(ctx, request)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/entry/lease_test.go
+++ b/internal/entry/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -70,6 +71,7 @@
 	c := newControl(t, dispatch())
 	leaving, staying := newRecord(), newRecord()
 	release := make(chan struct{})
+	letGo := sync.OnceFunc(func() { close(release) })
 	serveEndpoint(t, c, "leaving", recording(leaving, func(w http.ResponseWriter, r *http.Request) {
 		<-release
 		ok(w, r)
@@ -81,14 +83,16 @@
 		first <- got
 	}()
 	eventually(t, "the leaving endpoint has an order", func() bool { return leaving.total() == 1 })
+	t.Cleanup(letGo) // a failed check must not wait for the endpoint's request
 	c.withdraw("leaving")
 	serveEndpoint(t, c, "staying", recording(staying, ok))
+	eventually(t, "the withdrawal is in force", c.allKnown)
 	for i := range 50 {
 		is.Equal(send(t, e, "POST", "/orders", fmt.Sprint(i)).outcome, "done")
 	}
 	is.Equal(leaving.total(), 1)
 	is.Equal(staying.total(), 50)
-	close(release)
+	letGo()
 	is.Equal((<-first).outcome, "done")
 }
 
