--- a/internal/daemon/control_role.go
+++ b/internal/daemon/control_role.go
@@ -14,6 +14,7 @@
 	"github.com/pistachioport/pistachioport/internal/control/repair"
 	"github.com/pistachioport/pistachioport/internal/placement"
 	"github.com/pistachioport/pistachioport/internal/replica"
+	"github.com/pistachioport/pistachioport/internal/rpc"
 	"github.com/pistachioport/pistachioport/internal/state"
 	"github.com/pistachioport/pistachioport/internal/state/claims"
 	"github.com/pistachioport/pistachioport/internal/state/tasks"
@@ -40,6 +41,7 @@
 	outside *listener
 	// background are further duties, which end with the server.
 	background []func(ctx context.Context)
+	joining    *rpc.Client // used while the process is no voter; nil: none
 }
 
 func newControlRole(p *process) (*controlRole, error) {
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -32,7 +32,8 @@
 // and then shuts it down. Errors: settings that can't be read, an address that
 // can't be listened on, a damaged or failing data folder.
 func RunOnPlatform(ctx context.Context) error {
-	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	path := os.Getenv(platform.SettingsVariable)
+	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
 	}
@@ -62,12 +63,21 @@
 	}
 	p.logger.Info("started", "control", settings.ServesControl(), "entry", settings.ServesCallers(),
 		"first_start", settings.FirstStart, "seeds", settings.Seeds, "pid", os.Getpid())
+	watching, stop := context.WithCancel(ctx)
+	defer stop()
+	go p.watchSettings(watching, path, one)
 	err = one.run(ctx)
 	p.logger.Info("stopped", "error", err)
 	return err
 }
 
-func (p *platformProcess) role() (role, error) {
+// platformRole is a role that takes over changed settings.
+type platformRole interface {
+	role
+	reloader
+}
+
+func (p *platformProcess) role() (platformRole, error) {
 	if p.settings.ServesControl() {
 		return newPlatformControl(p)
 	}
--- a/internal/daemon/platform_control.go
+++ b/internal/daemon/platform_control.go
@@ -20,6 +20,15 @@
 	"github.com/pistachioport/pistachioport/platform"
 )
 
+// Times between the members of the log. Callers wait while there is no leader,
+// so they are shorter than the product's defaults; a needless election costs
+// less than a second without orders.
+const (
+	memberHeartbeat = 60 * time.Millisecond
+	memberElection  = 300 * time.Millisecond
+	memberCall      = 160 * time.Millisecond
+)
+
 // lostDiskAfter is how long a voter is silent before the empty process that
 // answers in its place takes it over.
 const lostDiskAfter = 1500 * time.Millisecond
@@ -41,6 +50,10 @@
 		Logger:        p.logger,
 		Metrics:       p.registry,
 		Seed:          seed(p.settings.Name),
+
+		HeartbeatInterval: memberHeartbeat,
+		ElectionTimeout:   memberElection,
+		CallTimeout:       memberCall,
 	})
 	if err != nil {
 		return nil, err
@@ -77,14 +90,14 @@
 	if role.outside, err = listen(p.settings.Listen.Control, outside, controlReadTimeout, p.logger); err != nil {
 		return nil, err
 	}
-	role.background = platformDuties(p, server)
+	role.joining = rpc.NewClient(rpc.Options{Addresses: p.settings.SeedAddresses()})
+	role.background = platformDuties(p, server, role.joining)
 	return role, nil
 }
 
 // platformDuties forms the cluster at the first start, and offers the process
 // to the leader while it is no voter.
-func platformDuties(p *platformProcess, server *control.Server) []func(context.Context) {
-	client := rpc.NewClient(rpc.Options{Addresses: p.settings.SeedAddresses()})
+func platformDuties(p *platformProcess, server *control.Server, client *rpc.Client) []func(context.Context) {
 	return []func(context.Context){
 		func(ctx context.Context) {
 			if p.settings.FirstStart {
--- /dev/null
+++ b/internal/daemon/platform_reload_test.go
@@ -0,0 +1,67 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/pistachioport/pistachioport/platform"
+)
+
+const platformSettings = `
+node_name = "edge-1"
+serves = ["edge"]
+ip = "10.1.0.13"
+internal_port_range = [7720,7735]
+seeds = ["10.1.0.13:8166"]
+[listen_addrs]
+frontend = "10.1.0.13:8161"
+[bounds]
+catch_up_s = 4
+grace_s = 6
+max_hold_ms = 10000
+status_s = 120
+`
+
+type reloads chan *platform.Settings
+
+func (r reloads) reload(changed *platform.Settings) { r <- changed }
+
+// SIGHUP ends a process that does not handle it.
+func TestHangupReloadsSettings(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "local.toml")
+	is.NoErr(os.WriteFile(path, []byte(platformSettings), 0o600))
+	settings, err := platform.LoadSettings(path)
+	is.NoErr(err)
+	p := &platformProcess{settings: settings, logger: slog.New(slog.DiscardHandler)}
+	ctx, cancel := context.WithCancel(context.Background())
+	got, done := make(reloads, 64), make(chan struct{})
+	go func() {
+		defer close(done)
+		p.watchSettings(ctx, path, got)
+	}()
+	survive := make(chan os.Signal, 1) // of signals before watchSettings listens
+	signal.Notify(survive, syscall.SIGHUP)
+	defer signal.Stop(survive)
+	self, err := os.FindProcess(os.Getpid())
+	is.NoErr(err)
+	var changed *platform.Settings
+	for changed == nil {
+		is.NoErr(self.Signal(syscall.SIGHUP))
+		select {
+		case changed = <-got:
+		case <-time.After(time.Millisecond):
+		}
+	}
+	is.Equal(changed.Name, "edge-1")
+	cancel()
+	<-done
+}
