--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -190,6 +190,17 @@
 	return errors.Wrap(err, "commit")
 }
 
+// forgetWorker drops a worker's life that is over from the table, so that no
+// later leader waits for it.
+func (d *Dispatcher) forgetWorker(record *apiv1.PoolWorker) {
+	d.spawn(func() {
+		life := &apiv1.WorkerLife{Id: record.GetId(), BornUnixMs: record.GetBornUnixMs()}
+		if err := d.propose(&apiv1.JobsCommand{ForgetWorkers: []*apiv1.WorkerLife{life}}); err != nil && d.ctx.Err() == nil {
+			d.Logger.Warn("lost worker not forgotten", "worker", record.GetId(), "error", err)
+		}
+	})
+}
+
 // maxForgotten bounds the jobs forgotten with one command.
 const maxForgotten = 500
 
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -167,6 +167,7 @@
 		p.vanish(r)
 	}
 	p.settle(w.record.GetId())
+	p.d.forgetWorker(w.record)
 	p.wake()
 }
 
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -137,3 +137,12 @@
 	w.submit("job", tasks(1, 1000)) // applied without a word to the dispatcher
 	w.eventually("the task runs", func() bool { return len(one.running()) == 1 })
 }
+
+// A worker whose life is over does not delay the next leader.
+func TestLostWorkerIsForgotten(t *testing.T) {
+	one, two := newFakeWorker("w1", 1000), newFakeWorker("w2", 1000)
+	w := newWorld(t, one, two)
+	w.lead()
+	one.set(func() { one.gone = true })
+	w.eventually("the table has forgotten it", func() bool { return len(w.table.Workers()) == 1 })
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -14,11 +15,14 @@
 )
 
 const (
-	// leaderPatience is how long a call looks for a leader that was not told
-	// of it yet. A caller that is refused early can come back in time.
-	leaderPatience = 80 * time.Millisecond
-	// attemptTimeout is how long one control process may take for a call.
-	attemptTimeout = time.Second
+	// electionPatience is how long after the last word from a leader a call
+	// waits for the next one: an election takes about that long. After that,
+	// callers are refused at once, so that they can come back.
+	electionPatience = time.Second
+	leastPatience    = 80 * time.Millisecond
+	// attemptTimeout is how long one control process may take for a call. A
+	// call may be sent again, so a short time costs little.
+	attemptTimeout = 350 * time.Millisecond
 	// answerMargin is the time left for the answer's way to the caller.
 	answerMargin = 60 * time.Millisecond
 	// leaderRetryAfter is when a caller should come back while there is no
@@ -44,7 +48,7 @@
 type Intake struct {
 	Config
 	jobs     apiv1.Jobs
-	joined   atomic.Int64 // Unix ms of the last contact with the leader
+	contact  atomic.Pointer[time.Time] // when a leader last answered
 	draining atomic.Bool
 	inFlight atomic.Int64
 	outcomes map[Outcome]metrics.Counter
@@ -150,10 +154,12 @@
 		defer cancel()
 		ctx = shorter
 	}
-	ctx = rpc.WithAttemptTimeout(rpc.WithPatience(ctx, leaderPatience), attemptTimeout)
+	ctx = rpc.WithAttemptTimeout(rpc.WithPatience(ctx, in.patience()), attemptTimeout)
 	answer, err := do(ctx)
 	if err != nil {
 		answer = in.failed(err)
+	} else {
+		in.answered()
 	}
 	took := time.Since(begin)
 	in.outcomes[answer.Outcome].Inc(1)
@@ -172,10 +178,28 @@
 	return Answer{Outcome: Unclear, Reason: err.Error()}
 }
 
+// patience is how long a call may look for a leader.
+func (in *Intake) patience() time.Duration {
+	return max(leastPatience, electionPatience-in.silence())
+}
+
+func (in *Intake) answered() {
+	now := time.Now()
+	in.contact.Store(&now)
+}
+
+// silence is the time since a leader last answered.
+func (in *Intake) silence() time.Duration {
+	last := in.contact.Load()
+	if last == nil {
+		return math.MaxInt64
+	}
+	return time.Since(*last)
+}
+
 // Ready reports whether more callers should be sent here.
 func (in *Intake) Ready() bool {
-	age := time.Since(time.UnixMilli(in.joined.Load()))
-	return !in.draining.Load() && age < joinExpiry
+	return !in.draining.Load() && in.silence() < joinExpiry
 }
 
 // BeginDrain asks for no more callers. Those that come are still served.
@@ -214,7 +238,7 @@
 func (in *Intake) noteJoin(response *apiv1.JoinResponse, err error) {
 	was := in.Ready()
 	if err == nil {
-		in.joined.Store(time.Now().UnixMilli())
+		in.answered()
 		in.Client.SetAddresses(response.GetControlAddresses())
 	}
 	if is := in.Ready(); is != was {
--- a/internal/state/jobs/workers.go
+++ b/internal/state/jobs/workers.go
@@ -26,11 +26,14 @@
 	t.workers[worker.GetId()] = kept
 }
 
-func (t *Table) forgetWorkers(ids []string) {
+// forgetWorkers drops lives that are over. Later lives stay.
+func (t *Table) forgetWorkers(lives []*apiv1.WorkerLife) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, id := range ids {
-		delete(t.workers, id)
+	for _, life := range lives {
+		if t.workers[life.GetId()].GetBornUnixMs() == life.GetBornUnixMs() {
+			delete(t.workers, life.GetId())
+		}
 	}
 }
 
