Calls that reached no process are refused as not run; no calls into the void

Whether a connection was had now decides, and entries that heard no leader for 1.5 s refuse at once, while their own look for one goes on. Ruled out: the election after the power's return (0.4 s).

--- a/internal/daemon/platform_entry.go
+++ b/internal/daemon/platform_entry.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// callTimeoutToLeader bounds one attempt at a control process.
-	callTimeoutToLeader = time.Second
+	// dialToLeader bounds the making of a connection to a control process: ten
+	// round trips between regions.
+	dialToLeader = 200 * time.Millisecond
 	// balancerNotice is how long the platform's balancer takes to see that an
 	// entry is not ready: two looks, a second apart, and some slack.
 	balancerNotice = 2500 * time.Millisecond
@@ -37,7 +38,7 @@
 func newPlatformEntry(p *platformProcess) (*platformEntry, error) {
 	s := p.settings
 	e := &platformEntry{
-		client: rpc.NewClient(rpc.Options{Addresses: s.SeedAddresses(), AttemptTimeout: callTimeoutToLeader}),
+		client: rpc.NewClient(rpc.Options{Addresses: s.SeedAddresses(), DialTimeout: dialToLeader}),
 		grace:  platform.Seconds(s.Bounds.GraceS),
 	}
 	e.intake = intake.New(intake.Config{
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -20,6 +20,9 @@
 	// callers are refused at once, so that they can come back.
 	electionPatience = time.Second
 	leastPatience    = 80 * time.Millisecond
+	// silenceToRefuse is how long no leader has answered when callers are
+	// refused without a try. The entry itself goes on looking for one.
+	silenceToRefuse = 1500 * time.Millisecond
 	// attemptTimeout is how long one control process may take for a call. A
 	// call may be sent again, so a short time costs little.
 	attemptTimeout = 350 * time.Millisecond
@@ -29,6 +32,8 @@
 	// leader: an election takes about that long.
 	leaderRetryAfter = 400 * time.Millisecond
 	joinEvery        = time.Second
+	// rejoinEvery is the time between two looks for a leader while there is none.
+	rejoinEvery = 200 * time.Millisecond
 	// joinExpiry is how old the last contact with the leader may be while the
 	// entry asks for more callers.
 	joinExpiry = 3 * time.Second
@@ -154,13 +159,7 @@
 		defer cancel()
 		ctx = shorter
 	}
-	ctx = rpc.WithAttemptTimeout(rpc.WithPatience(ctx, in.patience()), attemptTimeout)
-	answer, err := do(ctx)
-	if err != nil {
-		answer = in.failed(err)
-	} else {
-		in.answered()
-	}
+	answer := in.try(ctx, do)
 	took := time.Since(begin)
 	in.outcomes[answer.Outcome].Inc(1)
 	in.took.Update(took.Milliseconds())
@@ -171,6 +170,21 @@
 	return answer
 }
 
+// try makes the call, unless no leader has answered anybody here for so long
+// that it would only keep the caller waiting.
+func (in *Intake) try(ctx context.Context, do func(context.Context) (Answer, error)) Answer {
+	if in.silence() > silenceToRefuse {
+		return Answer{Outcome: NotRun, Reason: "no leader answers", RetryAfter: leaderRetryAfter}
+	}
+	ctx = rpc.WithAttemptTimeout(rpc.WithPatience(ctx, in.patience()), attemptTimeout)
+	answer, err := do(ctx)
+	if err != nil {
+		return in.failed(err)
+	}
+	in.answered()
+	return answer
+}
+
 func (in *Intake) failed(err error) Answer {
 	if errors.Is(err, rpc.ErrNotDone) || rpc.IsRefused(err) {
 		return Answer{Outcome: NotRun, Reason: err.Error(), RetryAfter: leaderRetryAfter}
@@ -222,15 +236,19 @@
 // Run keeps the leader told that this entry is there until ctx ends.
 func (in *Intake) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, joinEvery)
+		call, cancel := context.WithTimeout(rpc.WithAttemptTimeout(ctx, attemptTimeout), joinEvery)
 		response, err := in.jobs.Join(call, &apiv1.JoinRequest{
 			Name: in.Name, Address: in.Address, FailureDomain: in.FailureDomain,
 		})
 		cancel()
 		in.noteJoin(response, err)
+		pause := joinEvery
+		if err != nil {
+			pause = rejoinEvery
+		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(joinEvery):
+		case <-time.After(pause):
 		}
 	}
 }
--- a/internal/rpc/attempt.go
+++ b/internal/rpc/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -59,6 +60,10 @@
 func (c *Client) exchange(
 	ctx context.Context, pool *http.Transport, request *http.Request, body []byte, address string,
 ) (answer, error) {
+	connected := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	})
 	try := request.Clone(ctx)
 	try.URL.Host = c.options.dialAddress(address)
 	try.Host = address
@@ -66,6 +71,9 @@
 	try.GetBody = nil
 	try.ContentLength = int64(len(body))
 	response, err := pool.RoundTrip(try)
+	if err != nil && !connected {
+		return answer{}, errors.Mark(errors.Wrapf(err, "connect to %s", address), errNothingSent)
+	}
 	if err != nil {
 		return answer{}, errors.Wrapf(err, "call %s", address)
 	}
--- a/internal/rpc/fate.go
+++ b/internal/rpc/fate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +13,9 @@
 // process got it, or those that did refused it.
 var ErrNotDone = errors.New("the call had no effect")
 
+// errNothingSent marks an attempt that had no connection.
+var errNothingSent = errors.New("nothing was sent")
+
 // unclearMeta marks a refusal whose call may still take effect.
 const unclearMeta = "unclear"
 
@@ -42,8 +44,7 @@
 // failed takes in an attempt without an answer. Only one that had no
 // connection is certain to have had no effect.
 func (f *fate) failed(err error) {
-	var operation *net.OpError
-	if !errors.As(err, &operation) || operation.Op != "dial" {
+	if !errors.Is(err, errNothingSent) {
 		f.unclear = true
 	}
 }
