Advice: short calls keep entries of their own, and a waiting gang asks only while it keeps room

Entries are set aside for short calls, and a gang asks again only while it keeps room and should get enough.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"slices"
@@ -16,7 +17,6 @@
 	retryAt time.Time
 	tickets map[string]ticket // by worker id
 	denied  map[string]bool
-	wanted  int // workers to name next, raised when there was no room
 }
 
 type ticket struct {
@@ -29,7 +29,7 @@
 	// ticketMargin is the part of a ticket's validity left for its way here
 	// and for the start's way to the worker.
 	ticketMargin = 150 * time.Millisecond
-	// adviceRetry is the pause after a call without an answer.
+	// adviceRetry is the pause between two calls for one unit.
 	adviceRetry = 100 * time.Millisecond
 	// adviceSlack is how much later than its stated time an answer may come.
 	adviceSlack = 2 * time.Second
@@ -38,6 +38,8 @@
 	// spareChoice is how many times the room needed is looked for, since other
 	// work takes part of it meanwhile.
 	spareChoice = 2.5
+	// spareRoom is the same for workers that are known to be allowed.
+	spareRoom = 1.3
 	// roomNow and roomSoon weigh a worker's free room against the room that it
 	// has when nothing runs there, by the time the answer comes.
 	roomNow, roomSoon = 0.7, 0.1
@@ -73,41 +75,54 @@
 }
 
 // namesFor chooses the workers to ask about: those that are known to be allowed
-// with room, or the ones with the most room until the share of them that the
-// policy usually allows has room enough.
+// and have room but no valid ticket, or, if the room of the allowed ones is not
+// enough, further ones with the most room.
 func (p *pool) namesFor(u *unit, tasks int, now time.Time) []string {
-	var known, unasked []*worker
+	var allowed, unasked []*worker
 	for _, w := range p.workers {
-		if !p.eligible(w, u, now) || u.advice.denied[w.record.GetId()] {
-			continue
-		}
-		if u.advice.allowed(w.record.GetId()) {
-			known = append(known, w)
-		} else {
+		switch {
+		case !p.eligible(w, u, now) || u.advice.denied[w.record.GetId()]:
+		case u.advice.allowed(w.record.GetId()):
+			allowed = append(allowed, w)
+		default:
 			unasked = append(unasked, w)
 		}
 	}
-	byRoom := func(a, b *worker) int { return p.roomFor(b, u) - p.roomFor(a, u) }
-	slices.SortStableFunc(known, byRoom)
-	slices.SortStableFunc(unasked, byRoom)
-	need := float64(tasks) * spareChoice
-	var names []string
-	found := 0.0
-	for _, w := range known {
-		if found >= need || len(names) >= maxNamed {
+	names, room := p.renewals(u, allowed, tasks, now)
+	if room >= tasks {
+		return names
+	}
+	return p.addUnasked(u, names, unasked, float64(tasks-room))
+}
+
+// renewals returns the allowed workers whose tickets have to be renewed so that
+// the tasks have room, and the room of all allowed ones.
+func (p *pool) renewals(u *unit, allowed []*worker, tasks int, now time.Time) (names []string, room int) {
+	p.sortByRoom(allowed, u)
+	for _, w := range allowed {
+		if float64(room) >= spareRoom*float64(tasks) || len(names) >= maxNamed {
+			break
+		}
+		here := p.roomFor(w, u)
+		if here == 0 {
 			break
 		}
-		if room := p.roomFor(w, u); room > 0 {
+		room += here
+		if _, ok := u.advice.valid(w, now); !ok {
 			names = append(names, w.record.GetId())
-			found += float64(room)
 		}
 	}
-	if found >= float64(tasks) {
-		return names
-	}
+	return names, room
+}
+
+// addUnasked adds workers until the share of them that the policy usually
+// allows has room enough.
+func (p *pool) addUnasked(u *unit, names []string, unasked []*worker, tasks float64) []string {
+	p.sortByRoom(unasked, u)
 	share := p.allowedShare(u.job.queue.GetName())
-	for _, w := range unasked {
-		if len(names) >= maxNamed || (found >= need && len(names) >= max(fewestNamed, u.advice.wanted)) {
+	found := 0.0
+	for i, w := range unasked {
+		if len(names) >= maxNamed || (found >= spareChoice*tasks && i >= fewestNamed) {
 			break
 		}
 		names = append(names, w.record.GetId())
@@ -116,6 +131,12 @@
 	return names
 }
 
+func (p *pool) sortByRoom(workers []*worker, u *unit) {
+	slices.SortFunc(workers, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(p.roomFor(b, u), p.roomFor(a, u)), cmp.Compare(a.record.GetId(), b.record.GetId()))
+	})
+}
+
 // roomFor is how many of the unit's tasks fit on the worker at present.
 func (p *pool) roomFor(w *worker, u *unit) int {
 	room := w.free.times(u.size)
@@ -154,13 +175,13 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	u.advice.asking--
+	u.advice.retryAt = now.Add(adviceRetry)
 	if err != nil || answer.GetBusy() {
 		p.d.counters.adviceFailed.Inc(1)
 		if p.d.ctx.Err() == nil {
 			p.d.Logger.Warn("no advice", "step", u.name(), "advisor", address, "busy", answer.GetBusy(), "error", err)
 		}
 		p.d.advisors.callFailed(address, now)
-		u.advice.retryAt = now.Add(adviceRetry)
 		return
 	}
 	p.d.counters.adviceTime.Update(now.Sub(asked).Milliseconds())
@@ -180,7 +201,6 @@
 		}
 	}
 	p.learnShare(u.job.queue.GetName(), len(lives), len(answer.GetTickets()))
-	u.advice.wanted = max(u.advice.wanted, len(lives))
 	p.wake()
 }
 
--- a/internal/dispatch/advisors.go
+++ b/internal/dispatch/advisors.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 )
@@ -22,6 +24,11 @@
 const (
 	advisorExpiry = 10 * time.Second // without a word from the entry
 	advisorRest   = 2 * time.Second  // after a failed call
+	// longCall is the cost from which a call would delay others noticeably: a
+	// tenth of the shortest objective that users set.
+	longCall = 150 * time.Millisecond
+	// shortCallsPart is the inverse of the share of entries kept for short calls.
+	shortCallsPart = 4
 )
 
 func newAdvisors() *advisors { return &advisors{byID: make(map[string]*advisor)} }
@@ -41,11 +48,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var best *advisor
-	for address, one := range a.byID {
-		if now.Sub(one.lastSeen) > advisorExpiry {
-			delete(a.byID, address)
-			continue
-		}
+	for _, one := range a.forCost(now, cost) {
 		if best == nil || one.before(best, now) {
 			best = one
 		}
@@ -57,6 +60,24 @@
 	return best.address
 }
 
+// forCost returns the entries that may make a call of that cost. Some are kept
+// for short calls, which would wait behind long ones otherwise.
+func (a *advisors) forCost(now time.Time, cost time.Duration) []*advisor {
+	var all []*advisor
+	for address, one := range a.byID {
+		if now.Sub(one.lastSeen) > advisorExpiry {
+			delete(a.byID, address)
+			continue
+		}
+		all = append(all, one)
+	}
+	if cost < longCall {
+		return all
+	}
+	slices.SortFunc(all, func(a, b *advisor) int { return cmp.Compare(a.address, b.address) })
+	return all[len(all)/shortCallsPart:]
+}
+
 // before orders by recent failure, then by the end of the queue, then by
 // address.
 func (o *advisor) before(other *advisor, now time.Time) bool {
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -93,15 +93,52 @@
 	if len(placed) > 0 {
 		p.start(u, placed, now)
 	}
-	if len(placed) == len(waiting) {
+	left := len(waiting) - len(placed)
+	switch {
+	case left == 0:
+	case u.spec.GetGang():
+		p.awaitRoom(u, left, reserved, now)
+	case u.needsAdvice(now):
+		p.ask(u, p.namesFor(u, left, now), now)
+	}
+}
+
+// awaitRoom asks for the tickets with which a gang could start soon, and keeps
+// room for it as far as it may.
+func (p *pool) awaitRoom(u *unit, tasks int, reserved map[*worker]bool, now time.Time) {
+	first := u.advice.tickets == nil
+	keeps := p.reserve(u, tasks, reserved, now)
+	if !u.needsAdvice(now) || !(first || keeps) {
 		return
 	}
-	if u.needsAdvice(now) {
-		p.askMore(u, len(waiting)-len(placed), now)
+	names := p.namesFor(u, tasks, now)
+	if len(names) > 0 && (first || p.prospect(u, names, now) >= float64(tasks)) {
+		p.ask(u, names, now)
 	}
-	if u.spec.GetGang() {
-		p.reserve(u, len(waiting), reserved, now)
+}
+
+// prospect is the room that the unit should have if the policy service were
+// asked about the workers named.
+func (p *pool) prospect(u *unit, names []string, now time.Time) float64 {
+	room := 0.0
+	share := p.allowedShare(u.job.queue.GetName())
+	for _, id := range names {
+		if here := float64(p.roomFor(p.workers[id], u)); u.advice.allowed(id) {
+			room += here
+		} else {
+			room += share * here
+		}
 	}
+	for id := range u.advice.tickets {
+		w := p.workers[id]
+		if w == nil || !p.eligible(w, u, now) {
+			continue
+		}
+		if _, ok := u.advice.valid(w, now); ok {
+			room += float64(p.roomFor(w, u))
+		}
+	}
+	return room
 }
 
 // candidates returns the workers that may run the unit's tasks now.
@@ -133,30 +170,14 @@
 	return w.usable(now) && w.hasLabel(u.spec.GetLabel())
 }
 
-// askMore asks about workers with room for which the unit has no ticket.
-func (p *pool) askMore(u *unit, tasks int, now time.Time) {
-	first := u.advice.tickets == nil
-	names := p.namesFor(u, tasks, now)
-	room := 0
-	for _, id := range names {
-		w := p.workers[id]
-		if _, ok := u.advice.valid(w, now); !ok {
-			room += p.roomFor(w, u)
-		}
-	}
-	if !first && (room == 0 || (u.spec.GetGang() && room < tasks)) {
-		return
-	}
-	p.ask(u, names, now)
-}
-
 // reservableShare is the part of a pool's workers that waiting gangs may keep
 // from later work.
-const reservableShare = 0.3
+const reservableShare = 0.5
 
 // reserve keeps later units of the pass off the workers that a gang needs, so
-// that small work does not take their room piece by piece forever.
-func (p *pool) reserve(u *unit, tasks int, reserved map[*worker]bool, now time.Time) {
+// that small work does not take their room piece by piece forever. It reports
+// whether these are enough.
+func (p *pool) reserve(u *unit, tasks int, reserved map[*worker]bool, now time.Time) bool {
 	var usable []*worker
 	for _, w := range p.workers {
 		known := u.job.queue.GetPolicy() == nil || u.advice.allowed(w.record.GetId())
@@ -170,9 +191,10 @@
 	limit := int(reservableShare * float64(len(p.workers)))
 	for _, w := range usable {
 		if tasks <= 0 || len(reserved) >= limit {
-			return
+			break
 		}
 		reserved[w] = true
 		tasks -= capacity(w.record).times(u.size)
 	}
+	return tasks <= 0
 }
--- a/internal/placement/duty.go
+++ b/internal/placement/duty.go
@@ -7,14 +7,14 @@
 	"golang.org/x/sync/errgroup"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
-	"github.com/pistachioport/pistachioport/internal/platform"
+	"github.com/pistachioport/pistachioport/internal/workercall"
 )
 
 // Duty places tasks while this process leads. It is safe for concurrent use.
 type Duty struct {
 	config  Config
 	counts  *counts
-	service *platform.Service
+	service *workercall.Service
 	term    atomic.Pointer[term] // nil: not leading
 }
 
@@ -24,7 +24,7 @@
 func New(config Config) *Duty {
 	d := &Duty{config: config.withDefaults()}
 	d.counts = newCounts(d.config.Metrics)
-	d.service = platform.NewService(&leader{duty: d}, d.config.NotLeader)
+	d.service = workercall.NewService(&leader{duty: d}, d.config.NotLeader)
 	return d
 }
 
--- a/internal/placement/renew.go
+++ b/internal/placement/renew.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
-	"github.com/pistachioport/pistachioport/internal/platform"
+	"github.com/pistachioport/pistachioport/internal/workercall"
 	"github.com/pistachioport/pistachioport/internal/replica"
 	"github.com/pistachioport/pistachioport/internal/state/tasks"
 )
@@ -16,7 +16,7 @@
 // lease's length.
 const maxWaitShare = 4
 
-var _ platform.Leader = (*leader)(nil)
+var _ workercall.Leader = (*leader)(nil)
 
 // leader serves renewals for a duty.
 type leader struct {
@@ -24,17 +24,17 @@
 }
 
 // Renew takes a worker's word, renews its lease and returns its orders.
-func (l *leader) Renew(ctx context.Context, renewal *platform.Renewal) (*platform.Grant, error) {
+func (l *leader) Renew(ctx context.Context, renewal *workercall.Renewal) (*workercall.Grant, error) {
 	t := l.duty.term.Load()
 	if t == nil {
-		return nil, platform.ErrNotLeader
+		return nil, workercall.ErrNotLeader
 	}
 	grant, err := t.renew(ctx, renewal)
 	if errors.IsAny(err, replica.ErrNotLeader, replica.ErrUnknownFate) {
-		return nil, platform.ErrNotLeader
+		return nil, workercall.ErrNotLeader
 	}
 	if err != nil && ctx.Err() == nil && t.over() {
-		return nil, platform.ErrNotLeader
+		return nil, workercall.ErrNotLeader
 	}
 	return grant, err
 }
@@ -49,7 +49,7 @@
 	}
 }
 
-func (t *term) renew(ctx context.Context, r *platform.Renewal) (*platform.Grant, error) {
+func (t *term) renew(ctx context.Context, r *workercall.Renewal) (*workercall.Grant, error) {
 	t.counts.renewals.Inc(1)
 	if err := t.barrier.wait(ctx); err != nil {
 		return nil, err
@@ -59,7 +59,7 @@
 		return nil, err
 	}
 	if !registered {
-		return &platform.Grant{}, nil // the lease of the worker's last boot still runs
+		return &workercall.Grant{}, nil // the lease of the worker's last boot still runs
 	}
 	t.usage.note(r.Worker.GetName(), r.Usage)
 	if err := t.report(ctx, r); err != nil {
@@ -73,16 +73,16 @@
 }
 
 // answer extends the lease, unless its end is being decided or decided.
-func (t *term) answer(w *apiv1.Worker, grant *platform.Grant) error {
+func (t *term) answer(w *apiv1.Worker, grant *workercall.Grant) error {
 	if t.over() {
-		return platform.ErrNotLeader
+		return workercall.ErrNotLeader
 	}
 	if !t.granter.Answer(holder(w.GetName(), w.GetBoot())) {
-		return platform.ErrLeaseInDoubt
+		return workercall.ErrLeaseInDoubt
 	}
 	registered, alive, _ := t.config.Tasks.WorkerBoot(w.GetName(), w.GetBoot())
 	if registered != w.GetBoot() || !alive {
-		return platform.ErrLeaseInDoubt
+		return workercall.ErrLeaseInDoubt
 	}
 	grant.Lease = t.granter.Length()
 	return nil
@@ -94,7 +94,7 @@
 	registered, alive, superseded := t.config.Tasks.WorkerBoot(w.GetName(), w.GetBoot())
 	switch {
 	case superseded:
-		return false, errors.Wrapf(platform.ErrSuperseded, "boot %q of worker %q", w.GetBoot(), w.GetName())
+		return false, errors.Wrapf(workercall.ErrSuperseded, "boot %q of worker %q", w.GetBoot(), w.GetName())
 	case registered == w.GetBoot() && alive:
 		return true, nil
 	case registered != w.GetBoot() && alive:
@@ -103,7 +103,7 @@
 	// The account starts before the table counts the worker as alive, so that
 	// the lease is not found to have run out at once.
 	if !t.granter.Answer(holder(w.GetName(), w.GetBoot())) {
-		return false, platform.ErrLeaseInDoubt
+		return false, workercall.ErrLeaseInDoubt
 	}
 	return true, t.commitWorker(ctx, w)
 }
@@ -117,7 +117,7 @@
 }
 
 // report commits those of the worker's reports that say something new.
-func (t *term) report(ctx context.Context, r *platform.Renewal) error {
+func (t *term) report(ctx context.Context, r *workercall.Renewal) error {
 	command := &apiv1.PlacementCommand{}
 	for _, m := range r.Reports {
 		m.Worker = r.Worker.GetName()
@@ -135,14 +135,14 @@
 
 // await waits until the worker's orders differ from those it has seen, or for
 // as long as it asked.
-func (t *term) await(ctx context.Context, r *platform.Renewal) (*platform.Grant, error) {
+func (t *term) await(ctx context.Context, r *workercall.Renewal) (*workercall.Grant, error) {
 	wait := min(r.Wait, t.config.LeaseLength/maxWaitShare)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		orders := t.config.Tasks.Orders(r.Worker.GetName(), r.Worker.GetBoot(), r.OrdersSeen)
 		if !orders.Known {
-			return nil, platform.ErrLeaseInDoubt
+			return nil, workercall.ErrLeaseInDoubt
 		}
 		grant := t.grant(r, orders)
 		if !grant.Unchanged || len(grant.Acknowledged) > 0 {
@@ -153,7 +153,7 @@
 		case <-timer.C:
 			return grant, nil
 		case <-t.done:
-			return nil, platform.ErrNotLeader
+			return nil, workercall.ErrNotLeader
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
@@ -161,7 +161,7 @@
 }
 
 // grant compares what the worker reports with what it shall hold.
-func (t *term) grant(r *platform.Renewal, orders tasks.Orders) *platform.Grant {
+func (t *term) grant(r *workercall.Renewal, orders tasks.Orders) *workercall.Grant {
 	var ends []string
 	var strays []*apiv1.Order
 	for _, m := range r.Reports {
@@ -176,7 +176,7 @@
 	if len(strays) > 0 && orders.Revision == r.OrdersSeen {
 		orders = t.config.Tasks.Orders(r.Worker.GetName(), r.Worker.GetBoot(), tasks.NoRevision)
 	}
-	return &platform.Grant{
+	return &workercall.Grant{
 		Revision:     orders.Revision,
 		Unchanged:    orders.Revision == r.OrdersSeen && len(strays) == 0,
 		Orders:       append(orders.Orders, strays...),
--- a/internal/platform/leader.go
+++ b/internal/workercall/leader.go
@@ -1,4 +1,4 @@
-package platform
+package workercall
 
 import (
 	"context"
--- a/internal/platform/service_test.go
+++ b/internal/workercall/service_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package workercall_test
 
 import (
 	"context"
@@ -10,26 +10,26 @@
 	"github.com/twitchtv/twirp"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
-	"github.com/pistachioport/pistachioport/internal/platform"
+	"github.com/pistachioport/pistachioport/internal/workercall"
 	"github.com/pistachioport/pistachioport/internal/rpc"
 )
 
 // leader gives one answer and keeps the last renewal.
 type leader struct {
-	grant *platform.Grant
+	grant *workercall.Grant
 	err   error
-	last  *platform.Renewal
+	last  *workercall.Renewal
 }
 
-func (l *leader) Renew(_ context.Context, renewal *platform.Renewal) (*platform.Grant, error) {
+func (l *leader) Renew(_ context.Context, renewal *workercall.Renewal) (*workercall.Grant, error) {
 	l.last = renewal
 	return l.grant, l.err
 }
 
 func TestRenewalsPassTheWireForm(t *testing.T) {
 	is := is.New(t)
-	l := &leader{grant: &platform.Grant{Lease: 4 * time.Second, Revision: 7, Unchanged: true, Acknowledged: []string{"a"}}}
-	service := platform.NewService(l, func() error { return rpc.NotLeader("") })
+	l := &leader{grant: &workercall.Grant{Lease: 4 * time.Second, Revision: 7, Unchanged: true, Acknowledged: []string{"a"}}}
+	service := workercall.NewService(l, func() error { return rpc.NotLeader("") })
 	response, err := service.Renew(context.Background(), &apiv1.RenewWorkerRequest{
 		Worker: &apiv1.Worker{Name: "w", Boot: "b"}, WaitMs: 1500, OrdersSeen: 6,
 		Usage: &apiv1.Resources{CpuMillis: 5},
@@ -56,9 +56,9 @@
 		{"no name", &apiv1.Worker{Boot: "b"}, nil, twirp.InvalidArgument},
 		{"no boot", &apiv1.Worker{Name: "w"}, nil, twirp.InvalidArgument},
 		{"negative capacity", &apiv1.Worker{Name: "w", Boot: "b", Capacity: &apiv1.Resources{CpuMillis: -1}}, nil, twirp.InvalidArgument},
-		{"not the leader", worker, platform.ErrNotLeader, twirp.Unavailable},
-		{"superseded boot", worker, errors.Wrap(platform.ErrSuperseded, "boot"), twirp.FailedPrecondition},
-		{"lease in doubt", worker, platform.ErrLeaseInDoubt, twirp.Aborted},
+		{"not the leader", worker, workercall.ErrNotLeader, twirp.Unavailable},
+		{"superseded boot", worker, errors.Wrap(workercall.ErrSuperseded, "boot"), twirp.FailedPrecondition},
+		{"lease in doubt", worker, workercall.ErrLeaseInDoubt, twirp.Aborted},
 		{"caller gone", worker, context.Canceled, twirp.Canceled},
 		{"too late", worker, context.DeadlineExceeded, twirp.DeadlineExceeded},
 		{"other", worker, errors.New("disk"), twirp.Internal},
@@ -66,7 +66,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			service := platform.NewService(&leader{err: c.err}, func() error { return rpc.NotLeader("") })
+			service := workercall.NewService(&leader{err: c.err}, func() error { return rpc.NotLeader("") })
 			_, err := service.Renew(context.Background(), &apiv1.RenewWorkerRequest{Worker: c.worker})
 			var wire twirp.Error
 			is.True(errors.As(err, &wire))
