--- a/internal/placement/link_test.go
+++ b/internal/placement/link_test.go
@@ -28,7 +28,7 @@
 	if l.isCut() {
 		return nil, errCut
 	}
-	response, err := l.workercall.Renew(ctx, request)
+	response, err := l.platform.Renew(ctx, request)
 	if err != nil {
 		return nil, err
 	}
