--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -19,6 +19,7 @@
 	counters  counters
 	authority *authority
 	advisors  *advisors
+	ends      *endBatcher
 
 	ctx    context.Context //nolint:containedctx // ends with the term
 	cancel context.CancelFunc
@@ -43,6 +44,7 @@
 		pools:     make(map[string]*pool),
 	}
 	d.Logger = config.Logger.With("term", term)
+	d.ends = &endBatcher{d: d}
 	d.ctx, d.cancel = context.WithCancel(ctx)
 	return d
 }
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -290,7 +290,7 @@
 			Run: end.Run, Outcome: end.Outcome, Checkpoint: end.Checkpoint,
 		})
 	}
-	if err := p.d.propose(command); err != nil {
+	if err := p.d.ends.commit(ctx, command.GetEnds()); err != nil {
 		if ctx.Err() == nil {
 			p.d.Logger.Warn("ends not recorded", "worker", w.record.GetId(), "ends", len(ends), "error", err)
 		}
