--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -106,17 +106,32 @@
 // awaitRoom asks for the tickets with which a gang could start soon, and keeps
 // room for it as far as it may.
 func (p *pool) awaitRoom(u *unit, tasks int, reserved map[*worker]bool, now time.Time) {
-	first := u.advice.tickets == nil
 	keeps := p.reserve(u, tasks, reserved, now)
-	if !u.needsAdvice(now) || !(first || keeps) {
+	if !u.needsAdvice(now) {
 		return
 	}
 	names := p.namesFor(u, tasks, now)
-	if len(names) > 0 && (first || p.prospect(u, names, now) >= float64(tasks)) {
+	switch {
+	case p.knownCapacity(u, now) < tasks:
+		// Those that are known to be allowed would not do even if they were empty.
+		p.ask(u, names, now)
+	case keeps && len(names) > 0 && p.prospect(u, names, now) >= float64(tasks):
 		p.ask(u, names, now)
 	}
 }
 
+// knownCapacity is how many of the unit's tasks the workers hold that are known
+// to be allowed, if nothing else runs there.
+func (p *pool) knownCapacity(u *unit, now time.Time) int {
+	total := 0
+	for id := range u.advice.tickets {
+		if w := p.workers[id]; w != nil && p.eligible(w, u, now) {
+			total += capacity(w.record).times(u.size)
+		}
+	}
+	return total
+}
+
 // prospect is the room that the unit should have if the policy service were
 // asked about the workers named.
 func (p *pool) prospect(u *unit, names []string, now time.Time) float64 {
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -29,7 +29,8 @@
 	workers   map[string]*fakeWorker
 	commitCut bool
 	term      uint64
-	advised   []string // steps asked about
+	advised   []string        // steps asked about
+	denied    map[string]bool // workers that the policy does not allow
 }
 
 func newWorld(t testing.TB, workers ...*fakeWorker) *world {
@@ -150,6 +151,9 @@
 	a.advised = append(a.advised, step)
 	response := &apiv1.AdviseResponse{}
 	for _, id := range workers {
+		if a.denied[id] {
+			continue
+		}
 		response.Tickets = append(response.Tickets, &apiv1.Ticket{Worker: id, Ticket: "t-" + id})
 	}
 	return response, nil
