--- a/internal/dispatch/unit.go
+++ b/internal/dispatch/unit.go
@@ -18,7 +18,6 @@
 	lastRun    int64
 	advice     advice
 	tail       time.Duration // longest chain of estimates that follows this step
-	blocked    bool          // the last pass found no room
 }
 
 func (u *unit) name() string { return stepName(u.job.id, u.occurrence, u.step) }
--- a/internal/entry/known_length.go
+++ b/internal/entry/known_length.go
@@ -20,7 +20,7 @@
 	}
 	n, err := k.from.Read(p)
 	k.left -= int64(n)
-	if err == io.EOF { //nolint:errorlint // io.Reader returns it bare
+	if err == io.EOF {
 		if k.left > 0 {
 			return n, io.ErrUnexpectedEOF
 		}
--- a/internal/placement/renew.go
+++ b/internal/placement/renew.go
@@ -7,9 +7,9 @@
 	"github.com/cockroachdb/errors"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
-	"github.com/pistachioport/pistachioport/internal/workercall"
 	"github.com/pistachioport/pistachioport/internal/replica"
 	"github.com/pistachioport/pistachioport/internal/state/tasks"
+	"github.com/pistachioport/pistachioport/internal/workercall"
 )
 
 // maxWaitShare bounds how long a renewal waits for orders, as a divisor of the
--- a/internal/workercall/service_test.go
+++ b/internal/workercall/service_test.go
@@ -10,8 +10,8 @@
 	"github.com/twitchtv/twirp"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
-	"github.com/pistachioport/pistachioport/internal/workercall"
 	"github.com/pistachioport/pistachioport/internal/rpc"
+	"github.com/pistachioport/pistachioport/internal/workercall"
 )
 
 // leader gives one answer and keeps the last renewal.
