--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -20,7 +20,7 @@
 func restrictedWorld(t *testing.T, workers, allowed int) (*world, []*fakeWorker) {
 	var all []*fakeWorker
 	for i := range workers {
-		all = append(all, newFakeWorker(fmt.Sprintf("w%02d", i), 1000))
+		all = append(all, newFakeWorker(fmt.Sprintf("w%03d", i), 1000))
 	}
 	w := newWorld(t, all...)
 	w.denied = make(map[string]bool)
@@ -44,7 +44,7 @@
 	w.lead()
 	w.submitAt(restricted(), "job", tasks(1, 1000))
 	w.eventually("the task runs", func() bool { return countRunning(all) == 1 })
-	is.Equal(all[0].starts[0].Ticket, "t-w00")
+	is.Equal(all[0].starts[0].Ticket, "t-w000")
 }
 
 // A gang for which the first answer allows too few workers asks about others,
