--- a/internal/command/daemon/root.go
+++ b/internal/command/daemon/root.go
@@ -11,6 +11,7 @@
 	"github.com/pistachioport/pistachioport/internal/finding"
 	"github.com/pistachioport/pistachioport/internal/settings"
 	"github.com/pistachioport/pistachioport/internal/version"
+	"github.com/pistachioport/pistachioport/platform"
 )
 
 // Exit codes of the daemon.
@@ -97,14 +98,27 @@
 }
 
 func newPlatformCommand(run PlatformFunc) *cobra.Command {
-	return &cobra.Command{
+	checkOnly := ""
+	command := &cobra.Command{
 		Use:   "platform",
 		Short: "Runs the role that the users' platform gives this process, until SIGTERM",
 		Long: `platform runs one role on the users' platform. Its settings are the platform's:
 the environment variable PISTACHIOPORT_SETTINGS names their file.`,
 		Args: usage(cobra.NoArgs),
-		RunE: func(command *cobra.Command, _ []string) error { return run(command.Context()) },
+		RunE: func(command *cobra.Command, _ []string) error {
+			if checkOnly == "" {
+				return run(command.Context())
+			}
+			loaded, err := platform.LoadSettings(checkOnly)
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(command.OutOrStdout(), "%s: no findings for %s\n", checkOnly, loaded.Name)
+			return err
+		},
 	}
+	command.Flags().StringVar(&checkOnly, "check", "", "check this settings file, report every finding, and end")
+	return command
 }
 
 func newCheckCommand() *cobra.Command {
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -54,6 +54,7 @@
 		newStatusCommand(session),
 		newRequestCommand(session),
 		newAuditCommand(session),
+		newExplainCommand(session),
 		newConfigCommand(session),
 		newVersionCommand(session),
 	)
