--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -93,7 +93,9 @@
 func parseEvent(id string, line []byte) (logEvent, bool) {
 	named := bytes.Contains(line, []byte(id))
 	var fields map[string]any
-	if err := json.Unmarshal(line, &fields); err != nil {
+	decoder := json.NewDecoder(bytes.NewReader(line))
+	decoder.UseNumber() // run numbers are long
+	if err := decoder.Decode(&fields); err != nil {
 		return logEvent{}, false // a line that was cut off
 	}
 	text, _ := fields["msg"].(string)
