--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -63,6 +63,10 @@
 	proposeTimeout = 4 * time.Second
 	// passDelay gathers events that come together into one scheduling pass.
 	passDelay = time.Millisecond
+	// passRest is how many times its own length a pass is followed by rest, so
+	// that passes leave most of the processor to orders and reports.
+	passRest         = 4
+	longestPassDelay = 25 * time.Millisecond
 	// tickInterval is the time between scheduling passes without events.
 	tickInterval = 100 * time.Millisecond
 )
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -94,7 +94,7 @@
 	u.job.open--
 	if u.job.open == 0 {
 		p.d.Logger.Info("job completed", "job", u.job.id, "queue", u.job.queue.GetName(),
-			"took_ms", time.Since(u.job.accepted).Milliseconds(), "objective_ms", u.job.objective().Milliseconds())
+			"took_ms", time.Since(u.job.accepted).Milliseconds(), "objective_ms", u.job.objective.Milliseconds())
 		delete(p.jobs, u.job.id)
 	}
 }
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -16,6 +16,8 @@
 	units    []*unit // by occurrence, then step
 	open     int     // units with tasks that are not done
 	begun    bool
+	// objective is the time within which the job earns in full.
+	objective time.Duration
 }
 
 // newJob builds a job from its progress in the replicated table. The jobs of a
@@ -38,6 +40,8 @@
 	for _, u := range j.units {
 		u.tail = j.chainAfter(u.step)
 	}
+	stretched := time.Duration(j.queue.GetSlackFactor() * float64(j.chain()))
+	j.objective = stretched + time.Duration(j.queue.GetLatencyTargetMs())*time.Millisecond
 	return j
 }
 
@@ -104,9 +108,3 @@
 	}
 	return longest
 }
-
-// objective returns the time within which the job earns in full.
-func (j *job) objective() time.Duration {
-	stretched := time.Duration(j.queue.GetSlackFactor() * float64(j.chain()))
-	return stretched + time.Duration(j.queue.GetLatencyTargetMs())*time.Millisecond
-}
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -39,7 +39,7 @@
 				p.askAhead(u, now, nowUnixMs)
 				continue
 			}
-			if len(u.pending(now)) > 0 {
+			if u.waits(now) {
 				found = append(found, ranked{u, rankOf(u, now)})
 			}
 		}
@@ -83,6 +83,9 @@
 // serve places the unit's waiting tasks, as far as there are workers with room.
 func (p *pool) serve(u *unit, reserved map[*worker]bool, now time.Time) {
 	waiting := u.pending(now)
+	if len(waiting) == 0 {
+		return // a gang with members that still run
+	}
 	candidates := p.candidates(u, reserved, now)
 	var placed []placement
 	if u.spec.GetGang() {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -41,17 +41,20 @@
 func (p *pool) run() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	pause := passDelay
 	for {
 		select {
 		case <-p.d.ctx.Done():
 			return
 		case <-p.kick:
-			if sleep(p.d.ctx, passDelay) != nil {
+			if sleep(p.d.ctx, pause) != nil {
 				return
 			}
 		case <-ticker.C:
 		}
+		begin := time.Now()
 		p.pass()
+		pause = min(max(passDelay, passRest*time.Since(begin)), longestPassDelay)
 	}
 }
 
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -30,7 +30,7 @@
 func rankOf(u *unit, now time.Time) rank {
 	j := u.job
 	left := u.estimate() + u.tail
-	objective := j.objective()
+	objective := j.objective
 	begin := j.accepted
 	if due := u.dueUnixMs(); due > 0 {
 		// Each occurrence counts from its own due time.
--- a/internal/dispatch/unit.go
+++ b/internal/dispatch/unit.go
@@ -52,6 +52,16 @@
 	return waiting
 }
 
+// waits reports whether any task waits for a start.
+func (u *unit) waits(now time.Time) bool {
+	for _, t := range u.tasks {
+		if t.pending(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // ready reports whether the steps before are done and the occurrence is due.
 func (u *unit) ready(nowUnixMs int64) bool {
 	if u.remaining == 0 || nowUnixMs < u.dueUnixMs() {
