Control: the voters grow to what the stated losses need

The cluster forms from three seeds; where two disks may be lost at a time it needs five voters. The leader adds those that offer themselves, one at a time, while all voters answer.

--- a/internal/control/repair/next.go
+++ b/internal/control/repair/next.go
@@ -76,9 +76,10 @@
 }
 
 // placeFree reports whether the cluster has one voter less than it was formed
-// with.
+// with, or is still to grow. It grows only while all voters answer.
 func (s *situation) placeFree() bool {
-	return len(s.Voters)%2 == 0
+	grows := len(s.Voters) < s.Limits.Voters && len(s.live) == len(s.Voters)
+	return len(s.Voters)%2 == 0 || grows
 }
 
 // dropLearner removes a learner that died or that is not needed.
--- a/internal/control/repair/view.go
+++ b/internal/control/repair/view.go
@@ -19,6 +19,7 @@
 type Limits struct {
 	LostAfter time.Duration // unreachable, while its VM answers as another incarnation
 	GoneAfter time.Duration // unreachable, while nothing answers for it
+	Voters    int           // to grow to while all answer; 0: as many as it was formed with
 }
 
 // Member is one incarnation of the membership.
--- a/internal/control/repair_driver.go
+++ b/internal/control/repair_driver.go
@@ -39,7 +39,8 @@
 // are other processes asked who they are.
 func (s *Server) needsRepair(status replica.Status) bool {
 	membership := status.Membership
-	if len(membership.GetLearners()) > 0 || len(membership.GetVoters())%2 == 0 {
+	voters := len(membership.GetVoters())
+	if len(membership.GetLearners()) > 0 || voters%2 == 0 || voters < s.Repair.Voters {
 		return true
 	}
 	for _, voter := range membership.GetVoters() {
--- a/internal/daemon/platform_control.go
+++ b/internal/daemon/platform_control.go
@@ -62,7 +62,7 @@
 	server, err := control.New(control.Config{
 		Log: log, Store: store, Clock: system, Logger: p.logger, Metrics: p.registry,
 		Name: p.settings.Name, Address: address,
-		Repair: repair.Limits{LostAfter: lostDiskAfter, GoneAfter: platform.Seconds(bounds.CatchUpS)},
+		Repair: repair.Limits{LostAfter: lostDiskAfter, GoneAfter: platform.Seconds(bounds.CatchUpS), Voters: p.settings.Voters()},
 		Dispatch: &dispatch.Config{
 			Log: log, Table: table, Driver: p.client, Clock: system, Logger: p.logger, Metrics: p.registry,
 			Advisor: intake.AdvisorClient{HTTP: &http.Client{}, Local: p.client},
