--- a/internal/control/repair/grow_test.go
+++ b/internal/control/repair/grow_test.go
@@ -1,6 +1,7 @@
 package repair_test
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -13,8 +14,8 @@
 func TestGrow(t *testing.T) {
 	spares := []repair.Peer{answering("d", 4, ""), answering("e", 5, "")}
 	three := []repair.Member{member("a", 1, 0), member("b", 2, 0), member("c", 3, 0)}
-	four := append(three[:3:3], member("d", 4, 0))
-	five := append(four[:4:4], member("e", 5, 0))
+	four := slices.Concat(three, []repair.Member{member("d", 4, 0)})
+	five := slices.Concat(four, []repair.Member{member("e", 5, 0)})
 	lost := []repair.Member{member("a", 1, 0), member("b", 2, 0), member("c", 3, lostAfter)}
 	cases := []struct {
 		name     string
--- a/internal/daemon/platform_control.go
+++ b/internal/daemon/platform_control.go
@@ -67,11 +67,9 @@
 			Log: log, Table: table, Driver: p.client, Clock: system, Logger: p.logger, Metrics: p.registry,
 			Advisor: intake.AdvisorClient{HTTP: &http.Client{}, Local: p.client},
 			Times: dispatch.Times{
-				MaxLease:    platform.Milliseconds(bounds.MaxHoldMs),
-				StopTimeout: platform.Milliseconds(bounds.StopTimeoutMs),
-				GangTimeout: platform.Milliseconds(bounds.GangTimeoutMs),
-				Early:       platform.Milliseconds(bounds.EarlyMs),
-				JobStatus:   platform.Seconds(bounds.StatusS),
+				MaxLease:  platform.Milliseconds(bounds.MaxHoldMs),
+				Early:     platform.Milliseconds(bounds.EarlyMs),
+				JobStatus: platform.Seconds(bounds.StatusS),
 			},
 		},
 	})
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -37,11 +37,9 @@
 
 // Times are the lengths that follow from the platform's bounds.
 type Times struct {
-	MaxLease    time.Duration // longest lease that a worker keeps
-	StopTimeout time.Duration // within which a told run stops
-	GangTimeout time.Duration // for which a gang's member waits for the others
-	Early       time.Duration // by which a timed start may come early
-	JobStatus   time.Duration // for which a finished job is still known
+	MaxLease  time.Duration // longest lease that a worker keeps
+	Early     time.Duration // by which a timed start may come early
+	JobStatus time.Duration // for which a finished job is still known
 }
 
 // lease returns the length of the leader's authority and so of leases: half of
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -179,14 +179,8 @@
 
 // free gives back the room of a run whose end is listed.
 func (p *pool) free(w *worker, end EndedRun) {
-	r := w.runs[runKey{end.Task, end.Run}]
-	if r == nil {
-		return
-	}
-	delete(w.runs, r.key())
-	w.free.add(r.size)
-	if r.task == nil && r.size == (resources{}) {
-		w.orphan--
+	if r := w.runs[runKey{end.Task, end.Run}]; r != nil {
+		w.release(r)
 	}
 }
 
@@ -238,7 +232,8 @@
 			return r
 		}
 	} else {
-		w.orphan++
+		r.unknown = true
+		w.unknown++
 	}
 	p.stop(r, "nobody wants the run")
 	return r
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -176,12 +176,8 @@
 
 // vanish frees a run that is certainly over or never began, without an end.
 func (p *pool) vanish(r *run) {
-	delete(r.worker.runs, r.key())
-	r.worker.free.add(r.size)
+	r.worker.release(r)
 	if r.task == nil {
-		if r.size == (resources{}) {
-			r.worker.orphan--
-		}
 		return
 	}
 	p.d.counters.lostRuns.Inc(1)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -25,6 +25,7 @@
 	stopped bool      // the stop was confirmed at acked
 	reason  string    // of the stop
 	ticket  string
+	unknown bool // its task is not known here, nor its size
 }
 
 type runKey struct {
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -162,3 +162,18 @@
 	one.set(func() { one.gone = true })
 	w.eventually("the table has forgotten it", func() bool { return len(w.table.Workers()) == 1 })
 }
+
+// A run of a job that is not known here is stopped, and its worker gets nothing
+// until its room is certain.
+func TestUnknownRunIsStopped(t *testing.T) {
+	is := is.New(t)
+	one := newFakeWorker("w1", 1000)
+	one.runs[runKey{"ffff.0.0.0", 7}] = StartOrder{}
+	one.deadline = 1 << 40
+	w := newWorld(t, one)
+	w.lead()
+	w.submit("job", tasks(1, 1000))
+	w.eventually("the job's task runs", func() bool { return one.began() == 1 })
+	is.Equal(one.stopped["ffff.0.0.0"], int64(7))
+	is.Equal(len(one.running()), 1)
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -10,10 +10,10 @@
 
 // worker is one worker of a pool.
 type worker struct {
-	record *apiv1.PoolWorker
-	free   resources
-	runs   map[runKey]*run
-	orphan int // runs that nobody wants, of unknown size
+	record  *apiv1.PoolWorker
+	free    resources
+	runs    map[runKey]*run
+	unknown int // runs of tasks that are not known here, and so of unknown size
 
 	// synced: a report under this term's token has told what runs here.
 	synced   bool
@@ -59,7 +59,7 @@
 
 // usable reports whether new tasks may be started here.
 func (w *worker) usable(now time.Time) bool {
-	return w.synced && w.orphan == 0 && !w.record.GetDraining() && !w.leaving && w.refused == 0 && w.health.usable(now)
+	return w.synced && w.unknown == 0 && !w.record.GetDraining() && !w.leaving && w.refused == 0 && w.health.usable(now)
 }
 
 func (w *worker) hasLabel(label string) bool {
@@ -85,3 +85,12 @@
 	}
 	return count
 }
+
+// release gives back the room of a run that is over.
+func (w *worker) release(r *run) {
+	delete(w.runs, r.key())
+	w.free.add(r.size)
+	if r.unknown {
+		w.unknown--
+	}
+}
