--- a/internal/logging/buffer.go
+++ b/internal/logging/buffer.go
@@ -27,6 +27,8 @@
 	bufferBytes = 1 << 20 // held while the reader does not read
 	// flushDelay gathers lines into one write.
 	flushDelay = 20 * time.Millisecond
+	// pipePiece is what a pipe takes at once or not at all (PIPE_BUF).
+	pipePiece = 4096 // bytes
 	// closeWait bounds the last write, since nobody may be reading any more.
 	closeWait = 200 * time.Millisecond
 )
@@ -94,7 +96,24 @@
 			lines = fmt.Appendf(lines, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"total\":%d}\n", dropped)
 			told = dropped
 		}
-		// There is nowhere to report that the log can't be written.
-		_, _ = b.out.Write(lines)
+		b.writeAll(lines)
+	}
+}
+
+// writeAll writes in pieces that a pipe takes as a whole. A reader that is slow
+// for a while gets the rest later; meanwhile new lines wait in the buffer.
+func (b *Buffer) writeAll(lines []byte) {
+	for len(lines) > 0 {
+		n, err := b.out.Write(lines[:min(len(lines), pipePiece)])
+		lines = lines[n:]
+		if err == nil {
+			continue
+		}
+		select {
+		case <-b.stop:
+			// There is nowhere to report that the log can't be written.
+			return
+		case <-time.After(flushDelay):
+		}
 	}
 }
