--- a/internal/logging/buffer_test.go
+++ b/internal/logging/buffer_test.go
@@ -59,7 +59,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
-	if s.calls%2 == 0 {
+	if s.calls%2 == 1 {
 		n, _ := s.written.Write(p[:len(p)/2])
 		return n, syscall.EAGAIN
 	}
