--- a/internal/control/barrier.go
+++ b/internal/control/barrier.go
@@ -28,11 +28,6 @@
 	return &sharedBarrier{ctx: ctx, log: log}
 }
 
-// wait returns after a round that began after the call.
-func (b *sharedBarrier) wait(ctx context.Context) error {
-	return b.join().wait(ctx)
-}
-
 // join returns a round that begins after the call.
 func (b *sharedBarrier) join() *barrierRound {
 	b.mu.Lock()
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -15,16 +15,19 @@
 type advice struct {
 	asking  int
 	retryAt time.Time
-	tickets map[string]ticket // by worker id
-	denied  map[string]bool
+	known   map[*worker]*ticket // nil: the worker is denied
+	granted []*ticket           // of the allowed workers
 }
 
+// ticket lets a unit's tasks start on a worker, for the life of that worker.
 type ticket struct {
+	worker  *worker
 	value   string
-	born    int64 // of the worker's life for which it holds
 	expires time.Time
 }
 
+func (t *ticket) validAt(at time.Time) bool { return t != nil && at.Before(t.expires) }
+
 const (
 	// ticketMargin is the part of a ticket's validity left for its way here
 	// and for the start's way to the worker.
@@ -49,20 +52,36 @@
 	maxAsking = 1
 )
 
-func (a *advice) valid(w *worker, now time.Time) (string, bool) {
-	t, ok := a.tickets[w.record.GetId()]
-	if !ok || t.born != w.record.GetBornUnixMs() || !now.Before(t.expires) {
-		return "", false
-	}
-	return t.value, true
-}
-
 // allowed reports whether the policy allows the worker, as far as known.
-func (a *advice) allowed(id string) bool {
-	_, ok := a.tickets[id]
+func (a *advice) allowed(w *worker) bool { return a.known[w] != nil }
+
+// asked reports whether the policy service has been asked about the worker.
+func (a *advice) asked(w *worker) bool {
+	_, ok := a.known[w]
 	return ok
 }
 
+// learn takes in the answer about the workers asked.
+func (a *advice) learn(asked []*worker, values map[string]string, expires time.Time) {
+	if a.known == nil {
+		a.known = make(map[*worker]*ticket)
+	}
+	for _, w := range asked {
+		value, ok := values[w.record.GetId()]
+		t := a.known[w]
+		switch {
+		case ok && t != nil:
+			t.value, t.expires = value, expires
+		case ok:
+			t = &ticket{worker: w, value: value, expires: expires}
+			a.known[w] = t
+			a.granted = append(a.granted, t)
+		case t == nil:
+			a.known[w] = nil
+		}
+	}
+}
+
 // adviceCost is the time that a call takes at the policy service.
 func adviceCost(policy *apiv1.PlacementPolicy, names int) time.Duration {
 	ms := policy.GetDecisionMs() + float64(names)*policy.GetPerWorkerMs()
@@ -74,103 +93,120 @@
 	return u.job.queue.GetPolicy() != nil && u.advice.asking < maxAsking && now.After(u.advice.retryAt)
 }
 
-// namesFor chooses the workers to ask about: those that are known to be allowed
-// and have room but no valid ticket, or, if the room of the allowed ones is not
-// enough, further ones with the most room.
-func (p *pool) namesFor(u *unit, tasks int, now time.Time) []string {
-	var allowed, unasked []*worker
-	for _, w := range p.workers {
-		switch {
-		case !p.eligible(w, u, now) || u.advice.denied[w.record.GetId()]:
-		case u.advice.allowed(w.record.GetId()):
-			allowed = append(allowed, w)
-		default:
-			unasked = append(unasked, w)
-		}
-	}
-	names, room := p.renewals(u, allowed, tasks, now)
+// workersToAsk chooses the workers to ask about for single tasks: those that are
+// known to be allowed and have room but no valid ticket, or, if the room of the
+// allowed ones is not enough, further ones with the most room.
+func (p *pool) workersToAsk(u *unit, tasks int, now time.Time) []*worker {
+	chosen, room := p.renewals(u, tasks, now)
 	if room >= tasks {
-		return names
+		return chosen
 	}
-	return p.addUnasked(u, names, unasked, float64(tasks-room))
+	return append(chosen, p.unasked(u, maxNamed-len(chosen), tasks-room, now)...)
 }
 
 // renewals returns the allowed workers whose tickets have to be renewed so that
 // the tasks have room, and the room of all allowed ones.
-func (p *pool) renewals(u *unit, allowed []*worker, tasks int, now time.Time) (names []string, room int) {
-	p.sortByRoom(allowed, u)
-	for _, w := range allowed {
-		if float64(room) >= spareRoom*float64(tasks) || len(names) >= maxNamed {
-			break
+func (p *pool) renewals(u *unit, tasks int, now time.Time) (chosen []*worker, room int) {
+	var options []option
+	for _, t := range u.advice.granted {
+		if p.open(t.worker, u, now) {
+			options = appendOption(options, t.worker, p.roomFor(t.worker, u))
 		}
-		here := p.roomFor(w, u)
-		if here == 0 {
+	}
+	sortByRoom(options)
+	for _, one := range options {
+		if float64(room) >= spareRoom*float64(tasks) || len(chosen) >= maxNamed {
 			break
 		}
-		room += here
-		if _, ok := u.advice.valid(w, now); !ok {
-			names = append(names, w.record.GetId())
+		room += one.room
+		if !u.advice.known[one.worker].validAt(now) {
+			chosen = append(chosen, one.worker)
 		}
 	}
-	return names, room
+	return chosen, room
 }
 
-// addUnasked adds workers until the share of them that the policy usually
-// allows has room enough.
-func (p *pool) addUnasked(u *unit, names []string, unasked []*worker, tasks float64) []string {
-	p.sortByRoom(unasked, u)
+// unasked returns workers that the policy service has not been asked about, so
+// many that the share of them that it usually allows has room enough.
+func (p *pool) unasked(u *unit, most, tasks int, now time.Time) []*worker {
+	var options []option
+	for _, w := range p.list {
+		if p.eligible(w, u, now) && !u.advice.asked(w) {
+			options = append(options, option{w, p.roomFor(w, u)})
+		}
+	}
+	sortByRoom(options)
 	share := p.allowedShare(u.job.queue.GetName())
+	var chosen []*worker
 	found := 0.0
-	for i, w := range unasked {
-		if len(names) >= maxNamed || (found >= spareChoice*tasks && i >= fewestNamed) {
+	for i, one := range options {
+		if len(chosen) >= most || (found >= spareChoice*float64(tasks) && i >= fewestNamed) {
 			break
 		}
-		names = append(names, w.record.GetId())
-		found += share * (roomNow*float64(p.roomFor(w, u)) + roomSoon*float64(capacity(w.record).times(u.size)))
+		chosen = append(chosen, one.worker)
+		found += share * (roomNow*float64(one.room) + roomSoon*float64(one.worker.capacity.times(u.size)))
+	}
+	return chosen
+}
+
+// option is a worker with the number of a unit's tasks that it has room for.
+type option struct {
+	worker *worker
+	room   int
+}
+
+func appendOption(options []option, w *worker, room int) []option {
+	if room <= 0 {
+		return options
 	}
-	return names
+	return append(options, option{w, room})
 }
 
-func (p *pool) sortByRoom(workers []*worker, u *unit) {
-	slices.SortFunc(workers, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(p.roomFor(b, u), p.roomFor(a, u)), cmp.Compare(a.record.GetId(), b.record.GetId()))
+func sortByRoom(options []option) {
+	slices.SortFunc(options, func(a, b option) int {
+		return cmp.Or(cmp.Compare(b.room, a.room), cmp.Compare(a.worker.record.GetId(), b.worker.record.GetId()))
 	})
 }
 
 // roomFor is how many of the unit's tasks fit on the worker at present.
 func (p *pool) roomFor(w *worker, u *unit) int {
-	room := w.free.times(u.size)
+	return u.limitPerWorker(w, w.free.times(u.size))
+}
+
+// limitPerWorker cuts a number of the unit's tasks to what it may still have on
+// the worker.
+func (u *unit) limitPerWorker(w *worker, room int) int {
 	if limit := int(u.spec.GetMaxPerWorker()); limit > 0 {
-		room = min(room, max(0, limit-w.ofUnit(u)))
+		return min(room, max(0, limit-w.ofUnit(u)))
 	}
 	return room
 }
 
 // ask calls the policy service for the unit. The caller holds the lock.
-func (p *pool) ask(u *unit, names []string, now time.Time) {
-	if len(names) == 0 {
+func (p *pool) ask(u *unit, about []*worker, now time.Time) {
+	if len(about) == 0 {
 		u.advice.retryAt = now.Add(adviceRetry)
 		return
 	}
-	cost := adviceCost(u.job.queue.GetPolicy(), len(names))
+	cost := adviceCost(u.job.queue.GetPolicy(), len(about))
 	address := p.d.advisors.pick(now, cost)
 	u.advice.asking++
 	p.d.counters.adviceAsked.Inc(1)
-	p.d.counters.adviceNames.Inc(int64(len(names)))
-	lives := make(map[string]int64, len(names))
-	for _, id := range names {
-		lives[id] = p.workers[id].record.GetBornUnixMs()
+	p.d.counters.adviceNames.Inc(int64(len(about)))
+	names := make([]string, len(about))
+	for i, w := range about {
+		names[i] = w.record.GetId()
 	}
 	p.d.spawn(func() {
 		ctx, cancel := context.WithTimeout(p.d.ctx, cost+adviceSlack)
 		defer cancel()
 		answer, err := p.d.Advisor.Advise(ctx, address, u.name(), names)
-		p.advised(u, address, lives, answer, err, now)
+		p.advised(u, address, about, answer, err, now)
 	})
 }
 
 // advised takes in the policy service's answer.
-func (p *pool) advised(u *unit, address string, lives map[string]int64, answer *apiv1.AdviseResponse, err error, asked time.Time) {
+func (p *pool) advised(u *unit, address string, about []*worker, answer *apiv1.AdviseResponse, err error, asked time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -185,22 +221,15 @@
 		return
 	}
 	p.d.counters.adviceTime.Update(now.Sub(asked).Milliseconds())
-	if u.advice.tickets == nil {
-		u.advice.tickets = make(map[string]ticket)
-		u.advice.denied = make(map[string]bool)
-	}
-	validity := time.Duration(u.job.queue.GetPolicy().GetValidityMs()) * time.Millisecond
+	values := make(map[string]string, len(answer.GetTickets()))
 	for _, t := range answer.GetTickets() {
-		u.advice.tickets[t.GetWorker()] = ticket{
-			value: t.GetTicket(), born: lives[t.GetWorker()], expires: now.Add(validity - ticketMargin),
-		}
+		values[t.GetWorker()] = t.GetTicket()
 	}
-	for id := range lives {
-		if !u.advice.allowed(id) {
-			u.advice.denied[id] = true
-		}
-	}
-	p.learnShare(u.job.queue.GetName(), len(lives), len(answer.GetTickets()))
+	validity := time.Duration(u.job.queue.GetPolicy().GetValidityMs()) * time.Millisecond
+	u.advice.learn(about, values, now.Add(validity-ticketMargin))
+	p.d.Logger.Info("advice received", "step", u.name(), "asked", len(about), "allowed", len(values),
+		"allowed_in_all", len(u.advice.granted), "took_ms", now.Sub(asked).Milliseconds())
+	p.learnShare(u.job.queue.GetName(), len(about), len(values))
 	p.wake()
 }
 
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -87,6 +87,7 @@
 			member.done = true
 		}
 		u.remaining = 0
+		p.giveUpBooking(u)
 	}
 	if u.remaining > 0 {
 		return
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -151,7 +151,9 @@
 	case RefusedHealth:
 		r.worker.health.refused(now)
 	case RefusedTicket:
-		delete(r.task.unit.advice.tickets, r.worker.record.GetId())
+		if t := r.task.unit.advice.known[r.worker]; t != nil {
+			t.expires = time.Time{}
+		}
 	case RefusedRoom:
 		r.worker.health.refused(now)
 		pause = tickInterval
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -12,6 +12,20 @@
 	rank rank
 }
 
+// passState is what one pass has found out.
+type passState struct {
+	now  time.Time
+	seen *forecast
+}
+
+// forecast is made once, from the state at its first use.
+func (s *passState) forecast(workers []*worker) *forecast {
+	if s.seen == nil {
+		s.seen = newForecast(workers, s.now)
+	}
+	return s.seen
+}
+
 // pass places what can be placed, in the order of rank.
 func (p *pool) pass() {
 	p.mu.Lock()
@@ -21,9 +35,9 @@
 	}
 	now := time.Now()
 	nowUnixMs := p.d.nowUnixMs()
-	reserved := make(map[*worker]bool)
+	state := &passState{now: now}
 	for _, one := range p.order(now, nowUnixMs) {
-		p.serve(one.unit, reserved, now)
+		p.serve(one.unit, state)
 	}
 }
 
@@ -53,14 +67,14 @@
 
 // askAhead asks for advice so early that it is there when the unit gets ready.
 func (p *pool) askAhead(u *unit, now time.Time, nowUnixMs int64) {
-	if !u.needsAdvice(now) || u.advice.tickets != nil {
+	if !u.needsAdvice(now) || u.advice.known != nil {
 		return
 	}
 	cost := adviceCost(u.job.queue.GetPolicy(), maxNamed/2)
 	if nowUnixMs+cost.Milliseconds() < u.dueUnixMs() || !u.soonUnblocked(now, cost) {
 		return
 	}
-	p.ask(u, p.namesFor(u, int(u.spec.GetCount()), now), now)
+	p.ask(u, p.workersToAsk(u, int(u.spec.GetCount()), now), now)
 }
 
 // soonUnblocked reports whether all that the unit waits for runs and should be
@@ -81,12 +95,13 @@
 }
 
 // serve places the unit's waiting tasks, as far as there are workers with room.
-func (p *pool) serve(u *unit, reserved map[*worker]bool, now time.Time) {
+func (p *pool) serve(u *unit, pass *passState) {
+	now := pass.now
 	waiting := u.pending(now)
 	if len(waiting) == 0 {
 		return // a gang with members that still run
 	}
-	candidates := p.candidates(u, reserved, now)
+	candidates := p.candidates(u, now)
 	var placed []placement
 	if u.spec.GetGang() {
 		placed = p.placeGang(u, waiting, candidates)
@@ -94,32 +109,34 @@
 		placed = p.placeEach(u, waiting, candidates)
 	}
 	if len(placed) > 0 {
+		p.giveUpBooking(u)
 		p.start(u, placed, now)
 	}
 	left := len(waiting) - len(placed)
 	switch {
 	case left == 0:
 	case u.spec.GetGang():
-		p.awaitRoom(u, left, reserved, now)
+		p.awaitRoom(u, left, pass)
 	case u.needsAdvice(now):
-		p.ask(u, p.namesFor(u, left, now), now)
+		p.ask(u, p.workersToAsk(u, left, now), now)
 	}
 }
 
-// awaitRoom asks for the tickets with which a gang could start soon, and keeps
-// room for it as far as it may.
-func (p *pool) awaitRoom(u *unit, tasks int, reserved map[*worker]bool, now time.Time) {
-	keeps := p.reserve(u, tasks, reserved, now)
-	if !u.needsAdvice(now) {
+// awaitRoom lets a gang collect the room it needs. It asks about further workers
+// while too few are known to be allowed, and for tickets once the room is about
+// to be there.
+func (p *pool) awaitRoom(u *unit, tasks int, pass *passState) {
+	booked := p.book(u, tasks, pass)
+	if !u.needsAdvice(pass.now) {
 		return
 	}
-	names := p.namesFor(u, tasks, now)
 	switch {
-	case p.knownCapacity(u, now) < tasks:
-		// Those that are known to be allowed would not do even if they were empty.
-		p.ask(u, names, now)
-	case keeps && len(names) > 0 && p.prospect(u, names, now) >= float64(tasks):
-		p.ask(u, names, now)
+	case booked:
+		if missing := p.withoutTicket(u, tasks, pass.now); len(missing) > 0 {
+			p.ask(u, missing, pass.now)
+		}
+	case p.knownCapacity(u, pass.now) < tasks:
+		p.ask(u, p.unasked(u, maxNamed, tasks, pass.now), pass.now)
 	}
 }
 
@@ -127,92 +144,63 @@
 // to be allowed, if nothing else runs there.
 func (p *pool) knownCapacity(u *unit, now time.Time) int {
 	total := 0
-	for id := range u.advice.tickets {
-		if w := p.workers[id]; w != nil && p.eligible(w, u, now) {
-			total += capacity(w.record).times(u.size)
+	for _, t := range u.advice.granted {
+		if p.eligible(t.worker, u, now) {
+			total += u.limitPerWorker(t.worker, t.worker.capacity.times(u.size))
 		}
 	}
 	return total
 }
 
-// prospect is the room that the unit should have if the policy service were
-// asked about the workers named.
-func (p *pool) prospect(u *unit, names []string, now time.Time) float64 {
-	room := 0.0
-	share := p.allowedShare(u.job.queue.GetName())
-	for _, id := range names {
-		if here := float64(p.roomFor(p.workers[id], u)); u.advice.allowed(id) {
-			room += here
-		} else {
-			room += share * here
-		}
+// possible returns the workers that the unit's policy is known to allow.
+func (p *pool) possible(u *unit) []*worker {
+	if u.job.queue.GetPolicy() == nil {
+		return p.list
 	}
-	for id := range u.advice.tickets {
-		w := p.workers[id]
-		if w == nil || !p.eligible(w, u, now) {
-			continue
-		}
-		if _, ok := u.advice.valid(w, now); ok {
-			room += float64(p.roomFor(w, u))
-		}
+	found := make([]*worker, len(u.advice.granted))
+	for i, t := range u.advice.granted {
+		found[i] = t.worker
 	}
-	return room
+	return found
 }
 
 // candidates returns the workers that may run the unit's tasks now.
-func (p *pool) candidates(u *unit, reserved map[*worker]bool, now time.Time) []candidate {
+func (p *pool) candidates(u *unit, now time.Time) []candidate {
 	var found []candidate
-	for _, w := range p.workers {
-		if reserved[w] || !w.free.fits(u.size) || !p.eligible(w, u, now) {
-			continue
-		}
-		one := candidate{worker: w, room: p.roomFor(w, u)}
-		if u.job.queue.GetPolicy() != nil {
-			value, ok := u.advice.valid(w, now)
-			if !ok {
-				continue
-			}
-			one.ticket = value
-		}
-		if w.health.failures >= failuresToSetAside {
-			one.room = min(one.room, 1)
+	if u.job.queue.GetPolicy() == nil {
+		for _, w := range p.list {
+			found = p.addCandidate(found, u, w, "", now)
 		}
-		if one.room > 0 {
-			found = append(found, one)
+		return found
+	}
+	for _, t := range u.advice.granted {
+		if t.validAt(now) {
+			found = p.addCandidate(found, u, t.worker, t.value, now)
 		}
 	}
 	return found
 }
 
-func (p *pool) eligible(w *worker, u *unit, now time.Time) bool {
-	return w.usable(now) && w.hasLabel(u.spec.GetLabel())
-}
-
-// reservableShare is the part of a pool's workers that waiting gangs may keep
-// from later work.
-const reservableShare = 0.5
-
-// reserve keeps later units of the pass off the workers that a gang needs, so
-// that small work does not take their room piece by piece forever. It reports
-// whether these are enough.
-func (p *pool) reserve(u *unit, tasks int, reserved map[*worker]bool, now time.Time) bool {
-	var usable []*worker
-	for _, w := range p.workers {
-		known := u.job.queue.GetPolicy() == nil || u.advice.allowed(w.record.GetId())
-		if known && !reserved[w] && p.eligible(w, u, now) {
-			usable = append(usable, w)
-		}
+func (p *pool) addCandidate(found []candidate, u *unit, w *worker, ticket string, now time.Time) []candidate {
+	if !w.free.fits(u.size) || !p.open(w, u, now) {
+		return found
 	}
-	slices.SortFunc(usable, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(b.free.cpu, a.free.cpu), cmp.Compare(a.record.GetId(), b.record.GetId()))
-	})
-	limit := int(reservableShare * float64(len(p.workers)))
-	for _, w := range usable {
-		if tasks <= 0 || len(reserved) >= limit {
-			break
-		}
-		reserved[w] = true
-		tasks -= capacity(w.record).times(u.size)
+	room := p.roomFor(w, u)
+	if w.health.failures >= failuresToSetAside {
+		room = min(room, 1)
 	}
-	return tasks <= 0
+	if room <= 0 {
+		return found
+	}
+	return append(found, candidate{worker: w, room: room, ticket: ticket})
+}
+
+// open reports whether the unit may start tasks on the worker now, if there is
+// room.
+func (p *pool) open(w *worker, u *unit, now time.Time) bool {
+	return (w.bookedFor == nil || w.bookedFor == u) && p.eligible(w, u, now)
+}
+
+func (p *pool) eligible(w *worker, u *unit, now time.Time) bool {
+	return !w.lost && w.usable(now) && w.hasLabel(u.spec.GetLabel())
 }
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,9 +25,11 @@
 
 	mu        sync.Mutex
 	workers   map[string]*worker
+	list      []*worker // the same workers
 	jobs      map[string]*job
 	shares    map[string]float64 // see allowedShare
 	unsettled map[string]time.Time
+	booked    int // workers that waiting gangs have booked
 }
 
 func newPool(d *Dispatcher, service string) *pool {
@@ -121,11 +124,11 @@
 
 // addWorker begins to hold a worker. The caller holds the lock.
 func (p *pool) addWorker(record *apiv1.PoolWorker) *worker {
-	w := &worker{record: record, free: capacity(record), runs: make(map[runKey]*run)}
+	w := newWorker(record)
 	ctx, cancel := context.WithCancel(p.d.ctx)
 	w.cancel = cancel
-	w.leaving = record.GetGone()
 	p.workers[record.GetId()] = w
+	p.list = append(p.list, w)
 	p.d.spawn(func() { p.hold(ctx, w) })
 	return w
 }
@@ -149,9 +152,9 @@
 		if record.GetDraining() != w.record.GetDraining() || record.GetGone() != w.leaving {
 			p.d.Logger.Info("worker leaves", "worker", record.GetId(), "draining", record.GetDraining(), "gone", record.GetGone(), "runs", len(w.runs))
 		}
-		before := capacity(w.record)
-		w.record, w.leaving = record, record.GetGone()
-		w.free.add(capacity(record))
+		before := w.capacity
+		w.record, w.leaving, w.capacity = record, record.GetGone(), capacity(record)
+		w.free.add(w.capacity)
 		w.free.subtract(before)
 	}
 	p.wake()
@@ -163,9 +166,11 @@
 		"runs", len(w.runs), "heard_ms_ago", time.Since(w.heard).Milliseconds())
 	p.d.counters.lostWorkers.Inc(1)
 	w.cancel()
+	w.lost = true
 	if p.workers[w.record.GetId()] == w {
 		delete(p.workers, w.record.GetId())
 	}
+	p.list = slices.DeleteFunc(p.list, func(one *worker) bool { return one == w })
 	for _, r := range w.runs {
 		p.vanish(r)
 	}
@@ -204,6 +209,7 @@
 	}
 	delete(p.jobs, id)
 	for _, u := range j.units {
+		p.giveUpBooking(u)
 		for _, t := range u.tasks {
 			if t.run != nil {
 				p.stop(t.run, reason)
--- a/internal/dispatch/unit.go
+++ b/internal/dispatch/unit.go
@@ -17,6 +17,8 @@
 	remaining  int // tasks not done
 	lastRun    int64
 	advice     advice
+	booking    *booking      // of a waiting gang
+	bookAgain  time.Time     // not before, if none could be made
 	tail       time.Duration // longest chain of estimates that follows this step
 }
 
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -10,10 +10,14 @@
 
 // worker is one worker of a pool.
 type worker struct {
-	record  *apiv1.PoolWorker
-	free    resources
-	runs    map[runKey]*run
-	unknown int // runs of tasks that are not known here, and so of unknown size
+	record   *apiv1.PoolWorker
+	capacity resources
+	free     resources
+	runs     map[runKey]*run
+	unknown  int  // runs of tasks that are not known here, and so of unknown size
+	lost     bool // its life is over
+
+	bookedFor *unit // the waiting gang that collects room here
 
 	// synced: a report under this term's token has told what runs here.
 	synced   bool
@@ -28,6 +32,11 @@
 	leaving  bool               // said that it leaves
 }
 
+func newWorker(record *apiv1.PoolWorker) *worker {
+	size := capacity(record)
+	return &worker{record: record, capacity: size, free: size, runs: make(map[runKey]*run), leaving: record.GetGone()}
+}
+
 // clockRate is the lowest rate of a worker's clock, as the platform states it.
 const clockRate = 0.98
 
