Placement test: wait until the started function has been called

Cause: one of 20 runs under the race detector failed with '0 != 1' starts in TestAPlanOfUnknownFateIsNotCarriedOutTwice. The fake worker reports an attempt as running and then calls its function in a goroutine, so the state can be seen before the count. Ruled out: a lost start (the state was RUNNING, from the worker's report). The check of exactly one start stays; it now waits until the function has been called. 200 runs under the race detector: none failed.

--- a/internal/placement/failure_test.go
+++ b/internal/placement/failure_test.go
@@ -266,6 +266,8 @@
 		c.awaitState("refit", index, apiv1.TaskState_TASK_STATE_RUNNING)
 	}
 	for index := range int32(6) {
+		// The worker reports a task as running right before it calls its function.
+		c.until("the task's function is called", func() bool { return s.starts(index) > 0 })
 		is.Equal(s.starts(index), 1)
 	}
 }
