--- /dev/null
+++ b/test/failure/soak_faults_test.go
@@ -0,0 +1,216 @@
+package failure_test
+
+import (
+	"context"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pistachioport/pistachioport/internal/fake/relay"
+)
+
+// soakFault is one kind of trouble, injected from outside the processes.
+type soakFault struct {
+	name   string
+	inject func(*soakCell, *rand.Rand)
+}
+
+// Lengths of troubles.
+const (
+	soakShort   = 300 * time.Millisecond
+	soakLong    = 4 * time.Second
+	soakBetween = 700 * time.Millisecond // mean time between two troubles
+)
+
+var soakFaults = []soakFault{
+	{"a process is killed", func(c *soakCell, r *rand.Rand) { c.kill(pickOne(r, c.all()), r, nil) }},
+	{"a control process is killed in the middle of a write", func(c *soakCell, r *rand.Rand) {
+		c.kill(pickOne(r, c.control), r, tearTail)
+	}},
+	{"a control process loses its disk", func(c *soakCell, r *rand.Rand) { c.wipe(pickOne(r, c.control), r) }},
+	{"all control processes are killed at once", func(c *soakCell, r *rand.Rand) { c.killAll(r) }},
+	{"a process is stopped and started", func(c *soakCell, r *rand.Rand) { c.restart(pickOne(r, c.all())) }},
+	{"a process is paused", func(c *soakCell, r *rand.Rand) { c.pause(pickOne(r, c.all()), r) }},
+	{"a process gets SIGHUP", func(c *soakCell, r *rand.Rand) {
+		if p := pickOne(r, c.all()); p.inHand.TryLock() {
+			defer p.inHand.Unlock()
+			p.signal(syscall.SIGHUP)
+		}
+	}},
+	{"a process is cut off, one way or both", func(c *soakCell, r *rand.Rand) { c.cut(pickOne(r, c.all()), r) }},
+	{"connections are reset", func(c *soakCell, r *rand.Rand) { pickOne(r, c.all()).link.Break() }},
+	{"open connections go silent", func(c *soakCell, r *rand.Rand) { pickOne(r, c.all()).link.SilenceOpen() }},
+	{"a worker's open connections go silent", func(c *soakCell, r *rand.Rand) { pickOne(r, c.workers).link.SilenceOpen() }},
+	{"a worker is cut off", func(c *soakCell, r *rand.Rand) { c.cutWorker(pickOne(r, c.workers), r) }},
+	{"a worker crashes and begins a new life", func(c *soakCell, r *rand.Rand) { pickOne(r, c.workers).crash() }},
+	{"a worker drains and comes back", func(c *soakCell, r *rand.Rand) { c.drainWorker(pickOne(r, c.workers)) }},
+	{"a worker carries orders out late", func(c *soakCell, r *rand.Rand) {
+		w := pickOne(r, c.workers)
+		w.set(func() { w.lateRate = 0.3 })
+		c.wait(soakLong)
+		w.set(func() { w.lateRate = 0 })
+	}},
+	{"a worker fails everything", func(c *soakCell, r *rand.Rand) {
+		w := pickOne(r, c.workers)
+		w.set(func() { w.grey = true })
+		c.wait(soakLong)
+		w.set(func() { w.grey = false })
+	}},
+}
+
+func pickOne[T any](r *rand.Rand, all []T) T { return all[r.Intn(len(all))] }
+
+func between(r *rand.Rand, shortest, longest time.Duration) time.Duration {
+	return shortest + time.Duration(r.Int63n(int64(longest-shortest)))
+}
+
+// wait lets a trouble last.
+func (c *soakCell) wait(length time.Duration) { time.Sleep(length) }
+
+// disturb injects troubles one after the other; each lasts beside the next ones.
+// It returns once all are over.
+func (c *soakCell) disturb(ctx context.Context, seed int64, log func(format string, args ...any)) {
+	random := rand.New(rand.NewSource(seed))
+	var troubles sync.WaitGroup
+	for ctx.Err() == nil {
+		fault := pickOne(random, soakFaults)
+		own := rand.New(rand.NewSource(random.Int63()))
+		log("%7.3f s  %s", time.Since(c.ledger.began).Seconds(), fault.name)
+		troubles.Go(func() { fault.inject(c, own) })
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(random.Int63n(int64(2 * soakBetween)))):
+		}
+	}
+	troubles.Wait()
+}
+
+// kill and the others leave a process alone that another trouble of this kind has
+// in hand: it can't be killed twice at a time.
+func (c *soakCell) kill(p *soakProcess, r *rand.Rand, harm func(*soakProcess, *rand.Rand)) {
+	if !p.inHand.TryLock() {
+		return
+	}
+	defer p.inHand.Unlock()
+	p.disturbed()
+	p.kill()
+	if harm != nil {
+		harm(p, r)
+	}
+	c.wait(between(r, 0, soakLong/2))
+	p.begin(false)
+	p.disturbed()
+}
+
+func (c *soakCell) killAll(r *rand.Rand) {
+	for _, p := range c.control {
+		p.inHand.Lock()
+		defer p.inHand.Unlock()
+	}
+	for _, p := range c.control {
+		p.disturbed()
+		p.kill()
+	}
+	c.wait(between(r, 0, soakLong/2))
+	for _, p := range c.control {
+		p.begin(false)
+		p.disturbed()
+	}
+}
+
+// wipe kills a control process and takes its disk, if the others are whole: the
+// cell bears the loss of one at a time.
+func (c *soakCell) wipe(p *soakProcess, r *rand.Rand) {
+	c.wiping.Lock()
+	for _, other := range c.control {
+		if !other.whole() {
+			c.wiping.Unlock()
+			return
+		}
+	}
+	p.disturbed()
+	c.wiping.Unlock()
+	c.kill(p, r, func(p *soakProcess, _ *rand.Rand) {
+		if err := os.RemoveAll(p.data); err != nil {
+			c.t.Error(err)
+		}
+	})
+}
+
+// tearTail appends part of a record to the newest file of the log, as a write in
+// progress at a loss of power would leave it.
+func tearTail(p *soakProcess, r *rand.Rand) {
+	files, err := filepath.Glob(filepath.Join(p.data, "*.log"))
+	if err != nil || len(files) == 0 {
+		return
+	}
+	slices.Sort(files)
+	file, err := os.OpenFile(files[len(files)-1], os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		p.t.Error(err)
+		return
+	}
+	defer func() { _ = file.Close() }()
+	garbage := make([]byte, 1+r.Intn(40))
+	_, _ = r.Read(garbage)
+	if _, err := file.Write(garbage); err != nil {
+		p.t.Error(err)
+	}
+}
+
+func (c *soakCell) restart(p *soakProcess) {
+	if !p.inHand.TryLock() {
+		return
+	}
+	defer p.inHand.Unlock()
+	p.disturbed()
+	p.terminate()
+	p.begin(false)
+	p.disturbed()
+}
+
+func (c *soakCell) pause(p *soakProcess, r *rand.Rand) {
+	if !p.inHand.TryLock() {
+		return
+	}
+	defer p.inHand.Unlock()
+	p.disturbed()
+	p.freeze()
+	c.wait(between(r, soakShort, soakLong))
+	p.thaw()
+	p.disturbed()
+}
+
+func (c *soakCell) cut(p *soakProcess, r *rand.Rand) {
+	faults := []relay.Fault{
+		{SwallowToTarget: true},
+		{SwallowToClient: true},
+		{SwallowToTarget: true, SwallowToClient: true},
+		{RefuseNew: true},
+		{Delay: 200 * time.Millisecond},
+	}
+	p.disturbed()
+	p.link.SetFault(pickOne(r, faults))
+	c.wait(between(r, soakShort, soakLong))
+	p.link.SetFault(relay.Fault{})
+	p.link.Break()
+	p.disturbed()
+}
+
+func (c *soakCell) cutWorker(w *soakWorker, r *rand.Rand) {
+	w.link.SetFault(relay.Fault{SwallowToTarget: true, SwallowToClient: r.Intn(2) == 0})
+	c.wait(between(r, soakShort, 2*soakLong))
+	w.link.SetFault(relay.Fault{})
+	w.link.Break()
+}
+
+// drainWorker lets a worker say that it leaves, end, and begin a new life.
+func (c *soakCell) drainWorker(w *soakWorker) {
+	w.set(func() { w.drains = true })
+	c.wait(soakDrain + time.Second)
+	w.crash()
+}
