Storage: a damaged data folder is set aside on the users' platform

Repair of a lost disk begins only with an empty process. Ruled out: the repair itself (it waited for an empty process).

Change: storage.SetAside renames the files, the identity first and for good, so that the old incarnation is never seen with less than it synced; the process begins as a new, empty member. Operators of the product's own interface still get the error.

Tests: TestSetAsideBeginsANewIncarnation, TestSetAsideBrokenOffKeepsNoIdentityWithoutItsLog (each rename fails in turn).

--- a/internal/daemon/platform_control.go
+++ b/internal/daemon/platform_control.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/pistachioport/pistachioport/internal/clock"
 	"github.com/pistachioport/pistachioport/internal/control"
 	"github.com/pistachioport/pistachioport/internal/control/repair"
@@ -17,6 +19,7 @@
 	"github.com/pistachioport/pistachioport/internal/state/claims"
 	"github.com/pistachioport/pistachioport/internal/state/jobs"
 	"github.com/pistachioport/pistachioport/internal/state/tasks"
+	"github.com/pistachioport/pistachioport/internal/storage"
 	"github.com/pistachioport/pistachioport/platform"
 )
 
@@ -41,7 +44,7 @@
 		Claims: claims.New(claims.Options{}), Tasks: tasks.New(), Jobs: table,
 	})
 	address := p.settings.ControlAddress()
-	log, err := replica.New(replica.Config{
+	log, err := p.openReplica(replica.Config{
 		DataDir:       p.settings.DataDir,
 		Name:          p.settings.Name,
 		Address:       address,
@@ -93,6 +96,23 @@
 	return role, nil
 }
 
+// openReplica opens the data folder. A damaged one is set aside, and the process
+// begins as a new, empty member, which the leader takes in like one whose disk
+// was lost: there is no operator to do it.
+func (p *platformProcess) openReplica(config replica.Config) (*replica.Replica, error) {
+	log, err := replica.New(config)
+	var damage *storage.DamageError
+	if !errors.As(err, &damage) {
+		return log, err
+	}
+	p.logger.Error("data folder damaged; set aside", "file", damage.Path, "offset", damage.Offset, "reason", damage.Reason)
+	if err := storage.SetAside(nil, config.DataDir); err != nil {
+		return nil, errors.Wrap(err, "set the damaged data folder aside")
+	}
+	p.settings.FirstStart = false // an empty folder now means a lost one
+	return replica.New(config)
+}
+
 // platformDuties forms the cluster at the first start, and offers the process
 // to the leader while it is no voter.
 func platformDuties(p *platformProcess, server *control.Server, client *rpc.Client) []func(context.Context) {
--- /dev/null
+++ b/internal/storage/set_aside_test.go
@@ -0,0 +1,99 @@
+package storage_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/raft"
+	"github.com/pistachioport/pistachioport/internal/storage"
+)
+
+var errStopped = errors.New("the process was killed")
+
+// stoppingDisk carries out so many renames and fails from then on.
+type stoppingDisk struct {
+	storage.Disk
+	left int
+}
+
+func (d *stoppingDisk) Rename(from, to string) error {
+	if d.left == 0 {
+		return errStopped
+	}
+	d.left--
+	return d.Disk.Rename(from, to)
+}
+
+// damagedFolder returns a folder whose log has a flipped byte, and the member's
+// incarnation.
+func damagedFolder(t *testing.T) (folder string, incarnation uint64) {
+	t.Helper()
+	is := is.New(t)
+	folder = t.TempDir()
+	store, _, err := storage.Open(storage.Options{Folder: folder})
+	is.NoErr(err)
+	meta := &apiv1.SnapshotMeta{Index: 1, Term: 1}
+	is.NoErr(store.Form("cluster", &raft.Snapshot{Meta: meta}))
+	for index := range uint64(10) {
+		entry := &apiv1.LogEntry{Index: index + 2, Term: 1}
+		is.NoErr(store.Append([]*apiv1.LogEntry{entry}, raft.HardState{Term: 1}))
+		is.NoErr(store.Sync())
+	}
+	incarnation = store.Identity().Incarnation
+	is.NoErr(store.Close())
+	logs, err := filepath.Glob(filepath.Join(folder, "*.log"))
+	is.NoErr(err)
+	data, err := os.ReadFile(logs[0])
+	is.NoErr(err)
+	data[len(data)/2] ^= 0xff
+	is.NoErr(os.WriteFile(logs[0], data, 0o600))
+	return folder, incarnation
+}
+
+func TestSetAsideBeginsANewIncarnation(t *testing.T) {
+	is := is.New(t)
+	folder, before := damagedFolder(t)
+	_, _, err := storage.Open(storage.Options{Folder: folder})
+	var damage *storage.DamageError
+	is.True(errors.As(err, &damage))
+	is.NoErr(storage.SetAside(nil, folder))
+	store, state, err := storage.Open(storage.Options{Folder: folder})
+	is.NoErr(err)
+	is.True(store.Identity().Incarnation != before)
+	is.Equal(store.Identity().ClusterID, "")
+	is.Equal(len(state.Entries), 0)
+	is.NoErr(store.Close())
+	kept, err := filepath.Glob(filepath.Join(folder, "*.log.damaged"))
+	is.NoErr(err)
+	is.Equal(len(kept), 1)
+}
+
+// Wherever it is broken off, the old incarnation is never opened with less than
+// it had synced.
+func TestSetAsideBrokenOffKeepsNoIdentityWithoutItsLog(t *testing.T) {
+	for renames := range 3 {
+		is := is.New(t)
+		folder, before := damagedFolder(t)
+		err := storage.SetAside(&stoppingDisk{left: renames}, folder)
+		finished := err == nil
+		is.True(finished || errors.Is(err, errStopped))
+		store, _, err := storage.Open(storage.Options{Folder: folder})
+		if err == nil {
+			is.True(store.Identity().Incarnation != before)
+			is.NoErr(store.Close())
+			continue
+		}
+		var damage *storage.DamageError
+		is.True(errors.As(err, &damage))
+		is.NoErr(storage.SetAside(nil, folder)) // at the next start
+		store, _, err = storage.Open(storage.Options{Folder: folder})
+		is.NoErr(err)
+		is.True(store.Identity().Incarnation != before)
+		is.NoErr(store.Close())
+	}
+}
