--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -86,16 +86,6 @@
 	}
 }
 
-// advicePatience is how long a call of a unit's band may wait until the policy
-// service begins with it. Worse bands wait here instead, so that they stand in
-// nobody's way.
-var advicePatience = [...]time.Duration{
-	bandUrgent:   time.Second,
-	bandOnTime:   300 * time.Millisecond,
-	bandLate:     50 * time.Millisecond,
-	bandHopeless: 0,
-}
-
 // adviceCost is the time that a call takes at the policy service.
 func adviceCost(policy *apiv1.PlacementPolicy, names int) time.Duration {
 	ms := policy.GetDecisionMs() + float64(names)*policy.GetPerWorkerMs()
@@ -206,7 +196,7 @@
 		return
 	}
 	cost := adviceCost(u.job.queue.GetPolicy(), len(about))
-	address, ok := p.d.advisors.pick(now, cost, advicePatience[u.rank.band])
+	address, ok := p.d.advisors.pick(now, cost, u.rank.band)
 	if !ok {
 		p.d.counters.advicePutOff.Inc(1)
 		u.advice.retryAt = now.Add(adviceRetry)
--- a/internal/dispatch/advisors.go
+++ b/internal/dispatch/advisors.go
@@ -28,10 +28,20 @@
 	// longCall is the cost from which a call would delay others noticeably: a
 	// tenth of the shortest objective that users set.
 	longCall = 150 * time.Millisecond
-	// shortCallsPart is the inverse of the share of entries kept for short calls.
-	shortCallsPart = 4
+	// urgentPart is the inverse of the share of entries kept for short urgent calls.
+	urgentPart = 4
 )
 
+// advicePatience is how long a call of a unit's band may wait until the policy
+// service begins with it. Worse bands wait here instead, so that they stand in
+// nobody's way.
+var advicePatience = [...]time.Duration{
+	bandUrgent:   time.Second,
+	bandOnTime:   300 * time.Millisecond,
+	bandLate:     50 * time.Millisecond,
+	bandHopeless: 0,
+}
+
 func newAdvisors() *advisors { return &advisors{byID: make(map[string]*advisor)} }
 
 func (a *advisors) joined(address string, now time.Time) {
@@ -44,13 +54,13 @@
 }
 
 // pick returns the entry whose calls are answered first and books the cost on
-// it. It returns false if the call would wait there for longer than patience. The
-// address is empty if no entry is known: then this VM asks itself.
-func (a *advisors) pick(now time.Time, cost, patience time.Duration) (address string, ok bool) {
+// it. It returns false if the call would wait there for longer than its band may.
+// The address is empty if no entry is known: then this VM asks itself.
+func (a *advisors) pick(now time.Time, cost time.Duration, b band) (address string, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var best *advisor
-	for _, one := range a.forCost(now, cost) {
+	for _, one := range a.forCall(now, cost, b) {
 		if best == nil || one.before(best, now) {
 			best = one
 		}
@@ -59,16 +69,16 @@
 		best = &a.own
 	}
 	begins := later(best.busyUntil, now)
-	if begins.Sub(now) > patience {
+	if begins.Sub(now) > advicePatience[b] {
 		return "", false
 	}
 	best.busyUntil = begins.Add(cost)
 	return best.address, true
 }
 
-// forCost returns the entries that may make a call of that cost. Some are kept
-// for short calls, which would wait behind long ones otherwise.
-func (a *advisors) forCost(now time.Time, cost time.Duration) []*advisor {
+// forCall returns the entries that may make the call. Some are kept for short
+// urgent calls, which would wait behind the others otherwise.
+func (a *advisors) forCall(now time.Time, cost time.Duration, b band) []*advisor {
 	var all []*advisor
 	for address, one := range a.byID {
 		if now.Sub(one.lastSeen) > advisorExpiry {
@@ -77,11 +87,11 @@
 		}
 		all = append(all, one)
 	}
-	if cost < longCall {
+	if b == bandUrgent && cost < longCall {
 		return all
 	}
 	slices.SortFunc(all, func(a, b *advisor) int { return cmp.Compare(a.address, b.address) })
-	return all[len(all)/shortCallsPart:]
+	return all[len(all)/urgentPart:]
 }
 
 // before orders by recent failure, then by the end of the queue, then by
