--- a/test/failure/soak_test.go
+++ b/test/failure/soak_test.go
@@ -25,6 +25,11 @@
 	why  string
 }{
 	{1, "the short run"},
+	// A damaged log kept its process from ever coming back, so that the cell stayed
+	// without a majority after the next loss.
+	{2, "a damaged log beside a lost disk"},
+	{3, "a damaged log beside kills of all"},
+	{5, "a damaged log beside pauses"},
 }
 
 // TestSoak runs a cell of real processes under troubles drawn by lot, and checks
--- a/test/failure/soak_traffic_test.go
+++ b/test/failure/soak_traffic_test.go
@@ -146,8 +146,14 @@
 		`"timeout_ms":3000,"target_latency_ms":1000,"priority":1,"service":%q,"max_attempts":%d,"slack_factor":2}],`+
 		`"services":[{"name":%q,"max_connections":64,"protocol":"h1"}],"limits":{"max_body_bytes":262144}}`,
 		version, soakHost, soakPrefix, soakService, soakAttempts, soakService)
+	return c.putToControl(context.Background(), client, "/api/config", []byte(body))
+}
+
+// putToControl sends a body to the control processes, one after the other, until
+// one takes it.
+func (c *soakCell) putToControl(ctx context.Context, client *http.Client, path string, body []byte) bool {
 	for _, address := range c.controlAddresses() {
-		request, err := http.NewRequest(http.MethodPut, "http://"+address+"/api/config", bytes.NewReader([]byte(body)))
+		request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address+path, bytes.NewReader(body))
 		if err != nil {
 			c.t.Error(err)
 			return false
--- a/test/failure/soak_worker_test.go
+++ b/test/failure/soak_worker_test.go
@@ -1,7 +1,6 @@
 package failure_test
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -329,7 +328,7 @@
 			soakService, w.link.Address(), state, soakCPU, w.clock(), sequence, w.born.UnixMilli(), w.id)
 		born, gone := w.born, w.gone
 		w.mu.Unlock()
-		if !gone && w.reportOnce(ctx, client, []byte(body)) && state == "draining" {
+		if !gone && w.cell.putToControl(ctx, client, "/api/instances/"+w.id, []byte(body)) && state == "draining" {
 			w.set(func() {
 				if w.born.Equal(born) && w.draining.IsZero() {
 					w.draining = time.Now()
@@ -342,21 +341,3 @@
 		}
 	}
 }
-
-func (w *soakWorker) reportOnce(ctx context.Context, client *http.Client, body []byte) bool {
-	for _, address := range w.cell.controlAddresses() {
-		request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address+"/api/instances/"+w.id, bytes.NewReader(body))
-		if err != nil {
-			return false
-		}
-		response, err := client.Do(request)
-		if err != nil {
-			continue
-		}
-		_ = response.Body.Close()
-		if response.StatusCode == http.StatusOK {
-			return true
-		}
-	}
-	return false
-}
