Placement tests: no request is on its way when the clock passes a lease

The test cuts the link and advances the clock once; a renewal on its way was then answered at the new time and so extended the lease, which never ran out. Ruled out: the lease rule (a lease that is answered counts from its answer).

The checks are as strict: one start, the state UNKNOWN after the lease.

--- a/internal/placement/failure_test.go
+++ b/internal/placement/failure_test.go
@@ -50,6 +50,14 @@
 	return s.started[index]
 }
 
+// startsSeen waits for as many starts as there should be and returns how many
+// there are. A worker reports a task as running right before it calls its
+// function.
+func (c *cell) startsSeen(s *starter, index int32, expected int) int {
+	c.until("the task's function is called", func() bool { return s.starts(index) >= expected })
+	return s.starts(index)
+}
+
 func (s *starter) ranTwice() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -148,7 +156,7 @@
 	again.Generation = "2"
 	c.publish(again)
 	c.awaitState("refit", 0, apiv1.TaskState_TASK_STATE_RUNNING)
-	is.Equal(s.starts(0), 2)
+	is.Equal(c.startsSeen(s, 0, 2), 2)
 	is.True(!s.ranTwice())
 }
 
@@ -163,14 +171,13 @@
 	l.set(func(l *link) { l.lost = starts })
 	c.publish(once(job("refit", apiv1.JobKind_JOB_KIND_BATCH, 1, "refit")))
 	c.awaitState("refit", 0, apiv1.TaskState_TASK_STATE_PLACED)
-	l.set(func(l *link) { l.cut = true })
-	c.clock.Advance(leaseOver)
+	c.outlast(l)
 	c.awaitState("refit", 0, apiv1.TaskState_TASK_STATE_UNKNOWN)
 	is.Equal(s.starts(0), 0)
 
 	l.set(func(l *link) { l.cut, l.lost = false, nil })
 	c.awaitState("refit", 0, apiv1.TaskState_TASK_STATE_RUNNING)
-	is.Equal(s.starts(0), 1)
+	is.Equal(c.startsSeen(s, 0, 1), 1)
 }
 
 func TestAStartOrderedTwiceRunsOnce(t *testing.T) {
@@ -233,8 +240,7 @@
 	first, cut := c.linked("w1", nil)
 	c.start(first.Run)
 	c.until("first boot", func() bool { return len(c.table.AliveBoots()) == 1 })
-	cut.set(func(l *link) { l.cut = true })
-	c.clock.Advance(leaseOver)
+	c.outlast(cut)
 	second, _ := c.linked("w1", nil)
 	c.start(second.Run)
 	c.until("second boot", func() bool {
@@ -266,9 +272,7 @@
 		c.awaitState("refit", index, apiv1.TaskState_TASK_STATE_RUNNING)
 	}
 	for index := range int32(6) {
-		// The worker reports a task as running right before it calls its function.
-		c.until("the task's function is called", func() bool { return s.starts(index) > 0 })
-		is.Equal(s.starts(index), 1)
+		is.Equal(c.startsSeen(s, index, 1), 1)
 	}
 }
 
@@ -313,8 +317,7 @@
 	c.start(w.Run)
 	c.publish(job("dispatch", apiv1.JobKind_JOB_KIND_SERVICE, 1, "serve"))
 	c.awaitState("dispatch", 0, apiv1.TaskState_TASK_STATE_RUNNING)
-	l.set(func(l *link) { l.cut = true })
-	c.clock.Advance(leaseOver)
+	c.outlast(l)
 	c.until("try to end the lease", func() bool { return tried.Load() > 0 })
 	c.until("stop on the worker", func() bool { return len(w.Running()) == 0 })
 	l.set(func(l *link) {
--- a/internal/placement/link_test.go
+++ b/internal/placement/link_test.go
@@ -19,21 +19,23 @@
 	platform apiv1.Platform
 
 	mu      sync.Mutex
+	passing int                                                         // requests on their way
 	cut     bool                                                        // no request passes
 	lost    func(*apiv1.RenewWorkerResponse) bool                       // which answers don't pass; nil: none
 	replace func(*apiv1.RenewWorkerResponse) *apiv1.RenewWorkerResponse // what passes instead; nil: itself
 }
 
 func (l *link) Renew(ctx context.Context, request *apiv1.RenewWorkerRequest) (*apiv1.RenewWorkerResponse, error) {
-	if l.isCut() {
+	if !l.enter() {
 		return nil, errCut
 	}
 	response, err := l.platform.Renew(ctx, request)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.passing--
 	if err != nil {
 		return nil, err
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	if l.cut {
 		return nil, errCut
 	}
@@ -46,10 +48,26 @@
 	return response, nil
 }
 
-func (l *link) isCut() bool {
+// enter lets a request in unless the link is cut.
+func (l *link) enter() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.cut
+	if !l.cut {
+		l.passing++
+	}
+	return !l.cut
+}
+
+// outlast cuts the link and advances the clock past the worker's lease. A request
+// on its way would extend the lease from the new time, so it waits for them first.
+func (c *cell) outlast(l *link) {
+	l.set(func(l *link) { l.cut = true })
+	c.until("no request is on its way", func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.passing == 0
+	})
+	c.clock.Advance(leaseOver)
 }
 
 // set changes the link's fields under its lock.
