--- a/internal/control/jobs_service.go
+++ b/internal/control/jobs_service.go
@@ -208,36 +208,6 @@
 // ErrNotLeader marks the error of a call that only the leader can serve.
 var ErrNotLeader = errors.New("this process does not lead")
 
-// PublishCatalog puts a catalog in force unless one of the same or a newer version
-// already is. It returns once that is committed. Its errors are marked as
-// ErrNotLeader.
-func (s *Server) PublishCatalog(ctx context.Context, catalog *apiv1.Catalog) error {
-	if _, err := s.dispatchLeadership(); err != nil {
-		return errors.Mark(err, ErrNotLeader)
-	}
-	before := s.jobsTable().Catalog().Version()
-	result, err := s.proposeJobs(ctx, &apiv1.JobsCommand{Catalog: catalog})
-	if err != nil {
-		return errors.Mark(err, ErrNotLeader)
-	}
-	s.Logger.Info("catalog published", "sent_version", catalog.GetVersion(), "version_before", before,
-		"version_in_force", result.GetCatalogVersion(), "queues", len(catalog.GetQueues()))
-	return nil
-}
-
-// PublishedCatalog returns the newest catalog as it was sent, or nil if there is
-// none. Its errors are marked as ErrNotLeader.
-func (s *Server) PublishedCatalog(ctx context.Context) ([]byte, error) {
-	l, err := s.dispatchLeadership()
-	if err != nil {
-		return nil, errors.Mark(err, ErrNotLeader)
-	}
-	if err := l.confirm(ctx); err != nil {
-		return nil, errors.Mark(err, ErrNotLeader)
-	}
-	return s.jobsTable().Catalog().Document(), nil
-}
-
 // ReportWorker records a worker's report about itself. If the worker drains, no task
 // is started on it after ReportWorker has returned. Its errors are marked as
 // ErrNotLeader.
