A full or stalled disk no longer ends a control process

Change: a leader whose disk fails asks another voter to campaign at once (raft: Resign) and its replica ends; a supervisor keeps the process, refuses calls with the reason, serves metrics, and opens the folder again when a probe file can be written and synced. The log is cut at the end that syncs have confirmed: after a failed sync the kernel shows records that are not on disk. A disk that doesn't answer is reported after a second (log, gauge, status); the loop waits for it, so that the member neither acknowledges nor votes.

Ruled out: keeping space for votes (the disk refuses every write); ending the leadership by hand on a stall (the others elect within the election timeout).

Tests: each single operation refused in turn with the power lost afterwards; they fail with the cut taken out.

--- a/internal/command/cluster.go
+++ b/internal/command/cluster.go
@@ -62,10 +62,10 @@
 }
 
 func membersTable(members []*apiv1.Member) *table {
-	t := &table{header: []string{"MEMBER", "ADDRESS", "FAILURE DOMAIN", "ROLE", "LEADER", "REACHABLE", "MATCH", "INCARNATION"}}
+	t := &table{header: []string{"MEMBER", "ADDRESS", "FAILURE DOMAIN", "ROLE", "LEADER", "REACHABLE", "MATCH", "INCARNATION", "PROBLEM"}}
 	for _, m := range members {
 		t.add(m.GetName(), m.GetAddress(), m.GetFailureDomain(), m.GetRole(), m.GetLeader(), m.GetReachable(),
-			matchIndexText(m.GetMatchIndex()), incarnationText(m.GetIncarnation()))
+			matchIndexText(m.GetMatchIndex()), incarnationText(m.GetIncarnation()), m.GetProblem())
 	}
 	return t
 }
--- a/internal/control/cluster_status.go
+++ b/internal/control/cluster_status.go
@@ -6,6 +6,9 @@
 	"slices"
 	"sync"
 
+	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
+
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 )
 
@@ -80,13 +83,17 @@
 	var calls sync.WaitGroup
 	for _, member := range members {
 		if member.GetIncarnation() == own {
-			member.Reachable = true
+			member.Reachable, member.Problem = true, s.Log.Status().Problem
 			continue
 		}
 		calls.Go(func() {
 			identity, err := s.peers.identify(ctx, member.GetAddress())
 			listed := member.GetIncarnation() == 0 || member.GetIncarnation() == identity.GetIncarnation()
 			member.Reachable = err == nil && listed
+			member.Problem = identity.GetProblem()
+			if twirpError := twirp.Error(nil); errors.As(err, &twirpError) && twirpError.Code() == twirp.Unavailable {
+				member.Problem = twirpError.Msg()
+			}
 		})
 	}
 	calls.Wait()
--- a/internal/daemon/control_role.go
+++ b/internal/daemon/control_role.go
@@ -18,6 +18,7 @@
 	"github.com/pistachioport/pistachioport/internal/state"
 	"github.com/pistachioport/pistachioport/internal/state/claims"
 	"github.com/pistachioport/pistachioport/internal/state/tasks"
+	"github.com/pistachioport/pistachioport/internal/storage"
 )
 
 const (
@@ -45,12 +46,25 @@
 	joinClient      *rpc.Client // registers the process as a spare while it is no voter; may be nil
 }
 
-func newControlRole(p *process) (*controlRole, error) {
+// newSupervisedControl returns the control role of a settings file of our own.
+func newSupervisedControl(p *process) (*controlSupervisor, error) {
+	return newControlSupervisor(&controlSupervisor{
+		build:   func(end *storage.Position) (*controlRole, error) { return newControlRole(p, end) },
+		folder:  p.settings.DataDir,
+		address: p.settings.Control.Listen,
+		logger:  p.logger, registry: p.registry,
+	})
+}
+
+// newControlRole opens the data folder and builds the role. end is the durable end of
+// this process's previous replica of the folder; nil: there was none.
+func newControlRole(p *process, end *storage.Position) (*controlRole, error) {
 	system := clock.System{}
 	taskTable := tasks.New()
 	store := state.New(state.Options{Claims: claims.New(claims.Options{}), Tasks: taskTable})
 	log, err := replica.New(replica.Config{
 		DataDir:       p.settings.DataDir,
+		DurableEnd:    end,
 		Name:          p.settings.Name,
 		Address:       p.settings.Control.Advertise,
 		FailureDomain: p.settings.FailureDomain,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -76,7 +76,7 @@
 	defer stopEntry()
 
 	if p.settings.Control != nil {
-		control, err := newControlRole(p)
+		control, err := newSupervisedControl(p)
 		if err != nil {
 			return errors.Wrap(err, "control role")
 		}
@@ -111,5 +111,6 @@
 
 var (
 	_ role = (*controlRole)(nil)
+	_ role = (*controlSupervisor)(nil)
 	_ role = (*entryRole)(nil)
 )
--- a/internal/daemon/platform_control.go
+++ b/internal/daemon/platform_control.go
@@ -37,7 +37,18 @@
 const replaceLostDiskAfter = 1500 * time.Millisecond
 
 // newPlatformControl builds a control process on the users' platform.
-func newPlatformControl(p *platformProcess) (*controlRole, error) {
+func newPlatformControl(p *platformProcess) (*controlSupervisor, error) {
+	return newControlSupervisor(&controlSupervisor{
+		build:   p.buildControl,
+		folder:  p.settings.DataDir,
+		address: p.settings.ControlBindAddress(),
+		logger:  p.logger, registry: p.registry,
+	})
+}
+
+// buildControl opens the data folder and builds the control role. end is the durable
+// end of this process's previous replica of the folder; nil: there was none.
+func (p *platformProcess) buildControl(end *storage.Position) (*controlRole, error) {
 	system := clock.System{}
 	jobTable := jobs.New()
 	store := state.New(state.Options{
@@ -46,6 +57,7 @@
 	address := p.settings.ControlAddress()
 	log, err := p.openReplica(replica.Config{
 		DataDir:       p.settings.DataDir,
+		DurableEnd:    end,
 		Name:          p.settings.Name,
 		Address:       address,
 		FailureDomain: p.settings.FailureDomain,
@@ -108,8 +120,9 @@
 	}
 	p.logger.Error("data folder damaged; renaming its files", "file", damage.Path, "offset", damage.Offset, "reason", damage.Reason)
 	if err := storage.RenameDamagedFiles(nil, config.DataDir); err != nil {
-		return nil, errors.Wrap(err, "rename the damaged files of the data folder")
+		return nil, errors.Mark(errors.Wrap(err, "rename the damaged files of the data folder"), storage.ErrUnavailable)
 	}
+	config.DurableEnd = nil      // of the renamed files
 	p.settings.Bootstrap = false // the folder is empty because its data was lost; the cluster exists
 	return replica.New(config)
 }
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -104,10 +104,7 @@
 // cluster does not wait for an election timeout.
 func (c *Core) stepDownAfterRemoval() {
 	c.broadcastAppend()
-	if successor := c.mostUpToDateVoter(); successor != 0 {
-		c.send(&apiv1.RaftMessage{Type: apiv1.RaftMessage_TYPE_TIMEOUT_NOW, To: successor})
-	}
-	c.becomeFollower(c.term, 0)
+	c.messages = append(c.messages, c.Resign()...)
 }
 
 // mostUpToDateVoter returns the other voter with the highest match index among
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -23,6 +23,9 @@
 	Logger     *slog.Logger
 	Metrics    metrics.Registry
 	FileSystem storage.FileSystem
+	// DurableEnd is that of this process's previous replica of the data folder, which
+	// failed; nil if there was none.
+	DurableEnd *storage.Position
 
 	TickInterval      time.Duration
 	HeartbeatInterval time.Duration
--- a/internal/replica/counters.go
+++ b/internal/replica/counters.go
@@ -14,6 +14,7 @@
 	snapshotsInstalled metrics.Counter
 	transfersReceived  metrics.Counter // requests by a leader to take over leadership
 	sync               metrics.Timer
+	diskStalled        metrics.Gauge // 1 while the disk does not answer
 }
 
 func newCounters(registry metrics.Registry) counters {
@@ -28,5 +29,6 @@
 		snapshotsInstalled: metrics.GetOrRegisterCounter("replica.snapshots.installed", registry),
 		transfersReceived:  metrics.GetOrRegisterCounter("replica.handovers.received", registry),
 		sync:               metrics.GetOrRegisterTimer("replica.sync", registry),
+		diskStalled:        metrics.GetOrRegisterGauge("replica.disk.stalled", registry),
 	}
 }
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -8,11 +8,29 @@
 	"github.com/pistachioport/pistachioport/internal/raft"
 )
 
-// loop drives the core and is the only user of it. When ctx ends, it transfers
+// loop drives the core until ctx or running ends or the data folder fails. A leader
+// whose data folder has failed hands over first, so that the others don't have to wait
+// for an election timeout.
+func (r *Replica) loop(ctx, running context.Context) error {
+	err := r.driveCore(ctx, running)
+	if err == nil {
+		return nil
+	}
+	if messages := r.core.Resign(); len(messages) > 0 {
+		r.transport.send(messages)
+		select {
+		case <-time.After(r.config.CallTimeout):
+		case <-running.Done():
+		}
+	}
+	return err
+}
+
+// driveCore drives the core and is the only user of it. When ctx ends, it transfers
 // leadership if this member is the leader and returns nil after the transfer or
 // transferTimeout. It returns at once if running ends, since then another
 // goroutine of the replica has failed.
-func (r *Replica) loop(ctx, running context.Context) error {
+func (r *Replica) driveCore(ctx, running context.Context) error {
 	ticker := time.NewTicker(r.config.TickInterval)
 	defer ticker.Stop()
 	stopping := ctx.Done() // nil once ctx has ended
@@ -156,6 +174,7 @@
 // sync writes the entries and the hard state to the log on disk and syncs it.
 func (r *Replica) sync(ready raft.Ready) error {
 	begin := time.Now()
+	defer r.disk.begin(begin)()
 	if err := r.store.Append(ready.Entries, ready.HardState); err != nil {
 		return err
 	}
--- a/internal/replica/peer.go
+++ b/internal/replica/peer.go
@@ -41,5 +41,6 @@
 		Name:          s.replica.config.Name,
 		ClusterId:     identity.ClusterID,
 		FailureDomain: s.replica.config.FailureDomain,
+		Problem:       s.replica.disk.problem(),
 	}, nil
 }
--- a/internal/replica/publish.go
+++ b/internal/replica/publish.go
@@ -16,6 +16,7 @@
 	defer r.mu.Unlock()
 	status := r.status
 	status.AppliedIndex = r.applier.appliedIndex()
+	status.Problem = r.disk.problem()
 	return status
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -22,6 +22,7 @@
 	applier   *applier
 	transport *transport
 	counters  counters
+	disk      *diskMonitor
 
 	proposals     chan *proposal
 	barriers      chan *barrier
@@ -62,6 +63,7 @@
 		FileSystem:  config.FileSystem,
 		Folder:      config.DataDir,
 		SegmentSize: config.SegmentBytes,
+		DurableEnd:  config.DurableEnd,
 	})
 	if err != nil {
 		return nil, err
@@ -78,6 +80,7 @@
 		stopped:       make(chan struct{}),
 		changed:       make(chan struct{}),
 	}
+	r.disk = &diskMonitor{logger: config.Logger, counters: r.counters}
 	r.core = raft.New(r.coreOptions(state))
 	r.applier = newApplier(config, store, &r.pending, r.counters)
 	r.transport = newTransport(config, store, r.counters)
@@ -109,8 +112,9 @@
 
 // Run runs the member until ctx ends. It then transfers leadership if this member
 // is the leader, closes the data folder and returns nil. It returns an error if
-// the data folder or the state machine fails; the process must then exit, since
-// it is unknown what reached the disk.
+// the data folder or the state machine fails, since it is unknown then what reached
+// the disk. After an error marked with storage.ErrUnavailable, a new replica can
+// continue with the folder and this one's DurableEnd once the disk accepts writes.
 func (r *Replica) Run(ctx context.Context) error {
 	defer close(r.stopped)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -118,6 +122,7 @@
 	group, running := errgroup.WithContext(background)
 	group.Go(func() error { return r.applier.run(running) })
 	group.Go(func() error { return r.transport.run(running) })
+	group.Go(func() error { return r.disk.run(running) })
 	group.Go(func() error {
 		defer stop()
 		return r.loop(ctx, running)
@@ -130,6 +135,10 @@
 	return err
 }
 
+// DurableEnd returns the end of the log that is known to be on disk, also after Run has
+// returned an error.
+func (r *Replica) DurableEnd() storage.Position { return r.store.DurableEnd() }
+
 // PeerHandler returns the handler for calls from other members.
 func (r *Replica) PeerHandler() http.Handler {
 	return apiv1.NewPeerServer(&peerService{replica: r})
--- a/internal/rpc/leader_error.go
+++ b/internal/rpc/leader_error.go
@@ -13,3 +13,9 @@
 	return twirp.NewError(twirp.Unavailable, "this control process does not lead").
 		WithMeta(leaderMeta, leader)
 }
+
+// Refusal returns the error of a control process that can't serve any call for the
+// reason. Clients treat it like NotLeader.
+func Refusal(reason string) twirp.Error {
+	return twirp.NewError(twirp.Unavailable, reason).WithMeta(leaderMeta, "")
+}
--- a/internal/storage/crash_test.go
+++ b/internal/storage/crash_test.go
@@ -104,9 +104,15 @@
 func (ct *crashTest) drawBelow(n int) int { return uniform10Bits.Draw(ct.t, "pick") % n }
 
 func (ct *crashTest) openStore() {
-	store, state, err := Open(Options{FileSystem: ct.fs, Folder: "data", SegmentSize: testSegmentSize})
+	ct.openStoreAfter(nil)
+}
+
+// openStoreAfter opens the folder. end is the durable end of a store that failed, or
+// nil after a crash.
+func (ct *crashTest) openStoreAfter(end *Position) {
+	store, state, err := Open(Options{FileSystem: ct.fs, Folder: "data", SegmentSize: testSegmentSize, DurableEnd: end})
 	if err != nil {
-		ct.t.Fatalf("opening after a crash: %v", err)
+		ct.t.Fatalf("opening after a crash or failure: %v", err)
 	}
 	ct.store = store
 	ct.checkRecovered(contentOfState(state))
@@ -157,10 +163,27 @@
 	if syncErr := ct.store.Sync(); !errors.Is(syncErr, errInjected) {
 		ct.t.Fatalf("Sync after a failed operation: got error %v, want the injected failure", syncErr)
 	}
-	ct.crash()
+	if ct.drawBelow(2) == 0 {
+		ct.crash()
+	} else {
+		ct.reopenAfterFailure()
+	}
 	return false
 }
 
+// reopenAfterFailure opens the folder again once the disk works, without a crash.
+func (ct *crashTest) reopenAfterFailure() {
+	if !errors.Is(ct.store.Failure(), ErrUnavailable) {
+		ct.t.Fatalf("failure %v is not marked as ErrUnavailable", ct.store.Failure())
+	}
+	end := ct.store.DurableEnd()
+	ct.fs.injectFailure = nil
+	if err := ct.store.Close(); err != nil {
+		ct.t.Fatal(err)
+	}
+	ct.openStoreAfter(&end)
+}
+
 // append appends up to 3 entries, some of which may replace uncommitted ones, and a
 // new hard state.
 func (ct *crashTest) append() {
--- a/internal/storage/doc.go
+++ b/internal/storage/doc.go
@@ -9,5 +9,6 @@
 // it. Any other damage is reported as a DamageError that names the file and the
 // offset; the folder must then be treated as lost. After a failed write or sync
 // the content of the disk is unknown, so every later change returns the same
-// error.
+// error. The folder can then be closed and opened again; with the DurableEnd of the
+// failed store, Open discards what may not be durable.
 package storage
--- a/internal/storage/memory_test.go
+++ b/internal/storage/memory_test.go
@@ -15,6 +15,26 @@
 type memoryFile struct {
 	data   []byte // as read
 	synced []byte // at the last sync
+	// dropped bounds the part of data that a failed sync left marked as clean: it can
+	// be read, but later syncs don't write it, as on Linux.
+	dropped struct{ from, to int }
+}
+
+// sync makes data durable, except the dropped part.
+func (f *memoryFile) sync() {
+	f.synced = slices.Clone(f.data)
+	clear(f.synced[min(f.dropped.from, len(f.synced)):min(f.dropped.to, len(f.synced))])
+}
+
+// failSync drops everything that was written since the last sync.
+func (f *memoryFile) failSync() {
+	f.dropped.from, f.dropped.to = len(f.synced), len(f.data)
+}
+
+// truncate cuts the data; what is written there later is not dropped.
+func (f *memoryFile) truncate(size int) {
+	f.data = f.data[:size]
+	f.dropped.to = min(f.dropped.to, size)
 }
 
 // memoryFileSystem is an in-memory file system with simulated crashes, which lose
@@ -150,7 +170,7 @@
 	_, err := m.lockAndInjectFailure("truncate", path)
 	defer m.mu.Unlock()
 	if err == nil {
-		m.files[path].data = m.files[path].data[:size]
+		m.files[path].truncate(int(size))
 	}
 	return err
 }
@@ -236,7 +256,9 @@
 	_, err := h.fs.lockAndInjectFailure("sync", h.path)
 	defer h.fs.mu.Unlock()
 	if err == nil {
-		h.file.synced = slices.Clone(h.file.data)
+		h.file.sync()
+	} else {
+		h.file.failSync()
 	}
 	return err
 }
--- a/internal/storage/operations.go
+++ b/internal/storage/operations.go
@@ -20,7 +20,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.failure == nil {
-		s.failure = errors.Wrapf(err, "data folder %q", s.folder)
+		s.failure = markUnavailable(errors.Wrapf(err, "data folder %q", s.folder))
 	}
 	return s.failure
 }
@@ -47,7 +47,15 @@
 
 // Sync returns once everything appended is durable.
 func (s *Store) Sync() error {
-	return s.runUnlessFailed(s.wal.sync)
+	return s.runUnlessFailed(s.syncLog)
+}
+
+// syncLog syncs the log and records its new durable end, also if beginning the next
+// segment fails afterwards.
+func (s *Store) syncLog() error {
+	err := s.wal.sync()
+	s.recordDurableEnd()
+	return err
 }
 
 // InstallSnapshot durably replaces the log with a snapshot from the leader.
@@ -57,7 +65,7 @@
 	}
 	return s.runUnlessFailed(func() error {
 		s.wal.bufferReset(snapshot.Meta)
-		return s.wal.sync()
+		return s.syncLog()
 	})
 }
 
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -16,6 +16,9 @@
 	FileSystem  FileSystem // nil: Disk
 	Folder      string
 	SegmentSize int64 // bytes after which a new segment begins; 0: defaultSegmentSize
+	// DurableEnd is that of this process's previous store of the folder, whose last
+	// change failed. Records after it are discarded. Nil: there was none.
+	DurableEnd *Position
 }
 
 const (
@@ -41,13 +44,15 @@
 
 	snapshotMu sync.Mutex // held while snapshot files are read, written or removed
 
-	mu       sync.Mutex
-	identity Identity
-	failure  error // of the first failed change; nil if none
+	mu         sync.Mutex
+	identity   Identity
+	durableEnd Position
+	failure    error // of the first failed change; nil if none
 }
 
 // Open locks and reads the data folder, which it creates if it does not exist.
-// It returns a DamageError if the folder's content can't be what was synced.
+// It returns a DamageError if the folder's content can't be what was synced, and an error
+// marked with ErrUnavailable if the disk refuses an operation.
 func Open(options Options) (*Store, *State, error) {
 	if options.FileSystem == nil {
 		options.FileSystem = Disk{}
@@ -57,26 +62,41 @@
 	}
 	s := &Store{fs: options.FileSystem, folder: options.Folder}
 	if err := s.fs.MkdirAll(s.folder); err != nil {
-		return nil, nil, errors.Wrapf(err, "creating folder %q", s.folder)
+		return nil, nil, errors.Mark(errors.Wrapf(err, "creating folder %q", s.folder), ErrUnavailable)
 	}
 	folderLock, err := s.fs.Lock(filepath.Join(s.folder, lockName))
 	if err != nil {
 		return nil, nil, err
 	}
 	s.folderLock = folderLock
-	state, err := s.load(options.SegmentSize)
+	state, err := s.load(options)
 	if err != nil {
-		return nil, nil, errors.CombineErrors(err, s.Close())
+		return nil, nil, errors.CombineErrors(markUnavailable(err), s.Close())
 	}
+	s.recordDurableEnd()
 	return s, state, nil
 }
 
+// markUnavailable marks an error other than damage with ErrUnavailable.
+func markUnavailable(err error) error {
+	var damage *DamageError
+	if errors.As(err, &damage) {
+		return err
+	}
+	return errors.Mark(err, ErrUnavailable)
+}
+
 // load deletes what unfinished operations left behind, and reads the identity,
 // the newest snapshot and the log.
-func (s *Store) load(segmentSize int64) (*State, error) {
+func (s *Store) load(options Options) (*State, error) {
 	if err := removeTemporaryFiles(s.fs, s.folder); err != nil {
 		return nil, err
 	}
+	if options.DurableEnd != nil {
+		if err := discardAfter(s.fs, s.folder, *options.DurableEnd); err != nil {
+			return nil, errors.Wrap(err, "discarding records that were not synced")
+		}
+	}
 	identity, err := openIdentity(s.fs, s.folder)
 	if err != nil {
 		return nil, err
@@ -91,7 +111,7 @@
 	if err != nil {
 		return nil, err
 	}
-	log, replayed, err := recoverWAL(s.fs, s.folder, segmentSize)
+	log, replayed, err := recoverWAL(s.fs, s.folder, options.SegmentSize)
 	if err != nil {
 		return nil, err
 	}
