Connections within the descriptor limit; every control process takes reports

Change: - connlimit: the limit of the settings divided among the kinds of connections; listeners evict the oldest connection without a request, then the one idle longest, and refuse with 503 before reading when all are in use. - dispatch: slots for long polls and for starts and stops, taken before a lease or deadline is computed; polls get shorter when workers take turns. - at most 3 connections a worker; a request that got no connection in time is known not to have been sent (ErrNotSent) and its run is not stopped. - reports: any control process that follows a leader answers those that change nothing, and passes the others on in batches; the dispatcher learns of workers from the applied log (WorkerChanged) and a report without a change no longer causes a scheduling pass. Removal of a lost worker is repeated until committed. - the leader's calls to entries keep one connection each.

Tests seen failing: flood at the listener for other daemons (13 of 20 jobs) before connections without a request went first; leases that lapse with polls of full length.

--- /dev/null
+++ b/internal/connlimit/plan.go
@@ -0,0 +1,61 @@
+package connlimit
+
+// Plan is the number of connections of each kind that a process may have open. The sum
+// leaves reservedDescriptors for everything else.
+type Plan struct {
+	// Holds and Orders bound the calls to workers in flight, and IdleWorkers the idle
+	// connections to them.
+	Holds, Orders, IdleWorkers int
+	Advisors                   int // idle connections to entries that call the policy service
+	Reports                    int // from workers and operators
+	Internal                   int // from entries and other control processes
+	Callers                    int // from callers
+	Policy                     int // to the policy service
+}
+
+// reservedDescriptors is kept back for listening sockets, the connections that this
+// process opens to the other control processes, the log's files and the runtime.
+const reservedDescriptors = 128
+
+// Weights of the kinds, in sixteenths of what the limit leaves. A leader holds one long
+// poll to each worker and keeps about as many connections for starts and stops; the
+// workers' reports come in over one connection each, spread over the control processes.
+const (
+	weightTotal       = 16
+	weightHolds       = 5
+	weightIdleWorkers = 4
+	weightOrders      = 1
+	weightReports     = 3
+	weightInternal    = 2
+	weightAdvisors    = 1
+
+	weightCallers       = 12
+	weightEntryInternal = 2
+	weightPolicy        = 1
+)
+
+// minDescriptors is the smallest limit that a plan is made for.
+const minDescriptors = 2 * reservedDescriptors
+
+// ControlPlan returns the plan of a control process that may have the given number of
+// descriptors open.
+func ControlPlan(descriptors int) Plan {
+	share := shares(descriptors)
+	return Plan{
+		Holds: share(weightHolds), Orders: share(weightOrders), IdleWorkers: share(weightIdleWorkers),
+		Advisors: share(weightAdvisors), Reports: share(weightReports), Internal: share(weightInternal),
+	}
+}
+
+// EntryPlan returns the plan of an entry that may have the given number of descriptors
+// open.
+func EntryPlan(descriptors int) Plan {
+	share := shares(descriptors)
+	return Plan{Callers: share(weightCallers), Internal: share(weightEntryInternal), Policy: share(weightPolicy)}
+}
+
+// shares returns a function from a weight to its part of the descriptors.
+func shares(descriptors int) func(weight int) int {
+	available := max(descriptors, minDescriptors) - reservedDescriptors
+	return func(weight int) int { return max(1, available*weight/weightTotal) }
+}
--- a/internal/control/jobs_service.go
+++ b/internal/control/jobs_service.go
@@ -8,7 +8,6 @@
 	"github.com/twitchtv/twirp"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
-	"github.com/pistachioport/pistachioport/internal/dispatch"
 	"github.com/pistachioport/pistachioport/internal/replica"
 	"github.com/pistachioport/pistachioport/internal/rpc"
 	"github.com/pistachioport/pistachioport/internal/state/jobs"
@@ -208,51 +207,6 @@
 // ErrNotLeader marks the error of a call that only the leader can serve.
 var ErrNotLeader = errors.New("this process does not lead")
 
-// ReportWorker records a worker's report about itself. If the worker drains, no task
-// is started on it after ReportWorker has returned. Its errors are marked as
-// ErrNotLeader.
-func (s *Server) ReportWorker(ctx context.Context, record *apiv1.PoolWorker) error {
-	l, err := s.dispatchLeadership()
-	if err != nil {
-		return errors.Mark(err, ErrNotLeader)
-	}
-	existing := s.jobsTable().Worker(record.GetId())
-	if existing == nil || dispatch.RecordChanged(existing, record) {
-		if _, err := s.proposeJobs(ctx, &apiv1.JobsCommand{Workers: []*apiv1.PoolWorker{record}}); err != nil {
-			return errors.Mark(err, ErrNotLeader)
-		}
-		existing = s.jobsTable().Worker(record.GetId())
-	}
-	if existing.GetBornUnixMs() == record.GetBornUnixMs() {
-		l.dispatch.WorkerReported(existing)
-	}
-	return nil
-}
-
-// WithdrawWorker records that a worker has left permanently. Its errors are marked
-// as ErrNotLeader.
-func (s *Server) WithdrawWorker(ctx context.Context, id string) error {
-	l, err := s.dispatchLeadership()
-	if err != nil {
-		return errors.Mark(err, ErrNotLeader)
-	}
-	existing := s.jobsTable().Worker(id)
-	if existing == nil || existing.GetGone() {
-		return nil
-	}
-	gone := apiv1.PoolWorker{
-		Id: existing.GetId(), BornUnixMs: existing.GetBornUnixMs(), Service: existing.GetService(),
-		Address: existing.GetAddress(), FailureDomain: existing.GetFailureDomain(), Labels: existing.GetLabels(),
-		CpuMillis: existing.GetCpuMillis(), MemoryMb: existing.GetMemoryMb(), Accelerators: existing.GetAccelerators(),
-		Machine: existing.GetMachine(), Draining: true, Gone: true,
-	}
-	if _, err := s.proposeJobs(ctx, &apiv1.JobsCommand{Workers: []*apiv1.PoolWorker{&gone}}); err != nil {
-		return errors.Mark(err, ErrNotLeader)
-	}
-	l.dispatch.WorkerReported(&gone)
-	return nil
-}
-
 // Leader returns the internal address of the leader, empty if it is unknown, and
 // whether this process leads.
 func (s *Server) Leader() (address string, own bool) {
--- a/internal/control/peer_clients.go
+++ b/internal/control/peer_clients.go
@@ -8,18 +8,29 @@
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 )
 
-const identifyTimeout = time.Second
+const (
+	identifyTimeout   = time.Second
+	reportIdleTimeout = 10 * time.Second // of a connection without reports
+)
 
-// peerClients calls other control processes by address. Calls are rare, so each
-// opens a new connection: a pooled one could be dead without notice.
+// peerClients calls other control processes by address.
 type peerClients struct {
+	// Most calls are rare, so each opens a new connection: a pooled one could be dead
+	// without notice.
 	transport *http.Transport
 	client    *http.Client
+	// Reports come often while workers start, and keep their connections.
+	reportTransport *http.Transport
+	reportClient    *http.Client
 }
 
 func newPeerClients() *peerClients {
 	transport := &http.Transport{DisableKeepAlives: true}
-	return &peerClients{transport: transport, client: &http.Client{Transport: transport}}
+	reportTransport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: reportIdleTimeout, DisableCompression: true}
+	return &peerClients{
+		transport: transport, client: &http.Client{Transport: transport},
+		reportTransport: reportTransport, reportClient: &http.Client{Transport: reportTransport},
+	}
 }
 
 // identify returns the name, incarnation and cluster of the process at the address.
@@ -35,6 +46,16 @@
 	return apiv1.NewFormationProtobufClient("http://"+address, p.client)
 }
 
+// jobs returns a client for the reports of workers.
+func (p *peerClients) jobs(address string) apiv1.Jobs {
+	return apiv1.NewJobsProtobufClient("http://"+address, p.reportClient)
+}
+
+// closeReportConnections closes the idle connections for reports, one of which may be
+// dead without notice.
+func (p *peerClients) closeReportConnections() { p.reportTransport.CloseIdleConnections() }
+
 func (p *peerClients) close() {
 	p.transport.CloseIdleConnections()
+	p.reportTransport.CloseIdleConnections()
 }
--- a/internal/control/rig_test.go
+++ b/internal/control/rig_test.go
@@ -13,6 +13,7 @@
 	"github.com/pistachioport/pistachioport/internal/clock"
 	"github.com/pistachioport/pistachioport/internal/control"
 	"github.com/pistachioport/pistachioport/internal/state"
+	"github.com/pistachioport/pistachioport/internal/state/jobs"
 )
 
 const (
@@ -28,6 +29,7 @@
 	is     *is.I
 	log    *fakeLog
 	store  *state.Store
+	jobs   *jobs.Table
 	clock  *clock.Manual
 	server *control.Server
 	url    string
@@ -46,7 +48,8 @@
 		EndpointLease: entryLease,
 		MaxClockDrift: drift,
 	}
-	options := state.Options{Claims: newFakeClaims()}
+	r.jobs = jobs.New()
+	options := state.Options{Claims: newFakeClaims(), Jobs: r.jobs}
 	r.store = state.New(options)
 	r.log = newFakeLog(r.store)
 	config.Log = r.log
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -20,6 +20,7 @@
 	Config
 
 	peers           *peerClients
+	reports         *reportBatcher
 	leadership      atomic.Pointer[leadership] // nil while another process leads
 	spares          spares
 	formingOperator atomic.Pointer[string] // operator who asked this process to form a cluster
@@ -32,7 +33,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Server{Config: config, peers: newPeerClients()}, nil
+	s := &Server{Config: config, peers: newPeerClients()}
+	s.reports = &reportBatcher{send: s.sendReports}
+	return s, nil
 }
 
 // Run performs the leader's duties whenever this process leads, until ctx ends. It
--- /dev/null
+++ b/internal/control/worker_reports.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/dispatch"
+	"github.com/pistachioport/pistachioport/internal/rpc"
+)
+
+// ReportWorker records a worker's report about itself. If the worker drains, no task
+// is started on it after ReportWorker has returned. Its errors are marked as
+// ErrNotLeader.
+//
+// Any process that follows a leader takes reports, so that they spread over all control
+// processes: most change nothing and end here. A process that no longer hears from a
+// leader takes none, since the worker might be unknown to the next one.
+func (s *Server) ReportWorker(ctx context.Context, record *apiv1.PoolWorker) error {
+	status := s.Log.Status()
+	if status.LeaderAddr == "" {
+		return errors.Mark(s.notLeader(), ErrNotLeader)
+	}
+	existing := s.jobsTable().Worker(record.GetId())
+	if existing != nil && !dispatch.RecordChanged(existing, record) {
+		return nil
+	}
+	return errors.Mark(s.reports.record(ctx, record), ErrNotLeader)
+}
+
+// WithdrawWorker records that a worker has left permanently. Its errors are marked
+// as ErrNotLeader.
+func (s *Server) WithdrawWorker(ctx context.Context, id string) error {
+	if _, err := s.dispatchLeadership(); err != nil {
+		return errors.Mark(err, ErrNotLeader)
+	}
+	existing := s.jobsTable().Worker(id)
+	if existing == nil || existing.GetGone() {
+		return nil
+	}
+	gone := apiv1.PoolWorker{
+		Id: existing.GetId(), BornUnixMs: existing.GetBornUnixMs(), Service: existing.GetService(),
+		Address: existing.GetAddress(), FailureDomain: existing.GetFailureDomain(), Labels: existing.GetLabels(),
+		CpuMillis: existing.GetCpuMillis(), MemoryMb: existing.GetMemoryMb(), Accelerators: existing.GetAccelerators(),
+		Machine: existing.GetMachine(), Draining: true, Gone: true,
+	}
+	return errors.Mark(s.reports.record(ctx, &gone), ErrNotLeader)
+}
+
+// ReportWorkers records the reports that another control process has received.
+func (s jobsService) ReportWorkers(ctx context.Context, request *apiv1.ReportWorkersRequest) (*apiv1.ReportWorkersResponse, error) {
+	if err := s.commitReports(ctx, request.GetWorkers()); err != nil {
+		return nil, err
+	}
+	return &apiv1.ReportWorkersResponse{}, nil
+}
+
+// commitReports commits the reports that change anything. It fails unless this process
+// leads.
+func (s *Server) commitReports(ctx context.Context, records []*apiv1.PoolWorker) error {
+	if _, err := s.dispatchLeadership(); err != nil {
+		return err
+	}
+	command := &apiv1.JobsCommand{}
+	for _, record := range records {
+		existing := s.jobsTable().Worker(record.GetId())
+		if existing == nil || dispatch.RecordChanged(existing, record) {
+			command.Workers = append(command.Workers, record)
+		}
+	}
+	if len(command.GetWorkers()) == 0 {
+		return nil
+	}
+	_, err := s.proposeJobs(ctx, command)
+	return err
+}
+
+// sendReports commits the reports if this process leads, and otherwise passes them to
+// the leader.
+func (s *Server) sendReports(ctx context.Context, records []*apiv1.PoolWorker) error {
+	status := s.Log.Status()
+	if status.IsLeader {
+		return s.commitReports(ctx, records)
+	}
+	if status.LeaderAddr == "" {
+		return s.notLeader()
+	}
+	_, err := s.peers.jobs(status.LeaderAddr).ReportWorkers(ctx, &apiv1.ReportWorkersRequest{Workers: records})
+	if err != nil {
+		s.peers.closeReportConnections()
+		s.Logger.Warn("workers' reports not recorded", "workers", len(records), "leader", status.LeaderAddr, "error", err)
+		return rpc.NotLeader("")
+	}
+	return nil
+}
--- a/internal/daemon/listener.go
+++ b/internal/daemon/listener.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/pistachioport/pistachioport/internal/connlimit"
 )
 
 // Limits of a listener's connections and of its shutdown.
@@ -32,6 +34,10 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
+	return newListener(socket, handler, readTimeout, logger), nil
+}
+
+func newListener(socket net.Listener, handler http.Handler, readTimeout time.Duration, logger *slog.Logger) *listener {
 	return &listener{
 		socket: socket,
 		server: &http.Server{
@@ -42,7 +48,19 @@
 			MaxHeaderBytes:    maxHeaderBytes,
 			ErrorLog:          slog.NewLogLogger(logger.Handler(), slog.LevelDebug),
 		},
-	}, nil
+	}
+}
+
+// listen opens a listener with at most limit connections of the named kind.
+func (p *platformProcess) listen(address, kind string, limit int, handler http.Handler) (*listener, error) {
+	socket, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	limited := connlimit.NewListener(socket, kind, limit, p.logger, p.registry)
+	l := newListener(limited, handler, requestReadTimeout, p.logger)
+	l.server.ConnState = limited.ConnState
+	return l, nil
 }
 
 // serve serves requests until close is called.
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"github.com/pistachioport/pistachioport/internal/connlimit"
 	"github.com/pistachioport/pistachioport/internal/logging"
 	"github.com/pistachioport/pistachioport/internal/metrics"
 	"github.com/pistachioport/pistachioport/platform"
@@ -22,6 +23,8 @@
 	client   *platform.Client
 	logger   *slog.Logger
 	registry gometrics.Registry
+	// connections bounds the process's connections by kind.
+	connections connlimit.Plan
 }
 
 // memoryLimitFraction is the fraction of the VM's memory that is the Go runtime's
@@ -50,11 +53,13 @@
 	if err := metrics.RegisterProcess(registry, time.Now()); err != nil {
 		return errors.Wrap(err, "register the process's metrics")
 	}
+	connections := connectionPlan(settings)
 	p := &platformProcess{
-		settings: settings,
-		client:   platform.NewClient(settings.PolicyService),
-		logger:   logger.With("name", settings.Name),
-		registry: registry,
+		connections: connections,
+		settings:    settings,
+		client:      platform.NewClient(settings.PolicyService, connections.IdleWorkers+connections.Policy),
+		logger:      logger.With("name", settings.Name),
+		registry:    registry,
 	}
 	role, err := p.newRole()
 	if err != nil {
--- a/internal/daemon/platform_control.go
+++ b/internal/daemon/platform_control.go
@@ -80,7 +80,8 @@
 		RepairPolicy: repair.Policy{UnreachableAfter: replaceLostDiskAfter, DeadAfter: platform.Seconds(bounds.CatchUpSeconds), TargetVoters: p.settings.VoterCount()},
 		Dispatch: &dispatch.Config{
 			Log: log, Table: jobTable, WorkerClient: p.client, Clock: system, Logger: p.logger, Metrics: p.registry,
-			Advisor: intake.AdvisorClient{HTTP: &http.Client{}, Local: p.client},
+			Advisor:    intake.AdvisorClient{HTTP: advisorHTTPClient(p.connections.Advisors), Local: p.client},
+			CallLimits: dispatch.CallLimits{Holds: p.connections.Holds, Orders: p.connections.Orders},
 			Timing: dispatch.Timing{
 				MaxLease:           platform.Milliseconds(bounds.MaxHoldMs),
 				EarlyStart:         platform.Milliseconds(bounds.EarlyStartMs),
@@ -96,11 +97,11 @@
 	mux.Handle(replica.PeerPath, log.PeerHandler())
 	mux.Handle("/metrics", metrics.Handler(p.registry))
 	mux.Handle("/", server.Handler())
-	if role.listener, err = listen(p.settings.ControlBindAddress(), mux, requestReadTimeout, p.logger); err != nil {
+	if role.listener, err = p.listen(p.settings.ControlBindAddress(), "internal", p.connections.Internal, mux); err != nil {
 		return nil, err
 	}
 	platformHandler := platform.ControlHandler(server, p.settings, p.logger)
-	if role.platformListener, err = listen(p.settings.Listen.Control, platformHandler, requestReadTimeout, p.logger); err != nil {
+	if role.platformListener, err = p.listen(p.settings.Listen.Control, "reports", p.connections.Reports, platformHandler); err != nil {
 		return nil, err
 	}
 	role.joinClient = rpc.NewClient(rpc.Options{Addresses: p.settings.SeedAddresses()})
--- a/internal/daemon/platform_entry.go
+++ b/internal/daemon/platform_entry.go
@@ -46,7 +46,7 @@
 		Logger: p.logger, Metrics: p.registry,
 	})
 	var err error
-	if e.callers, err = listen(s.Listen.Callers, platform.CallerHandler(e.intake), requestReadTimeout, p.logger); err != nil {
+	if e.callers, err = p.listen(s.Listen.Callers, "callers", p.connections.Callers, platform.CallerHandler(e.intake)); err != nil {
 		return nil, err
 	}
 	if e.ready, err = listen(s.Listen.Ready, platform.ReadyHandler(e.intake), requestReadTimeout, p.logger); err != nil {
@@ -55,7 +55,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", metrics.Handler(p.registry))
 	mux.Handle(apiv1.AdvisorPathPrefix, apiv1.NewAdvisorServer(intake.AdvisorServer{Policy: p.client}))
-	e.internal, err = listen(s.EntryBindAddress(), mux, requestReadTimeout, p.logger)
+	e.internal, err = p.listen(s.EntryBindAddress(), "internal", p.connections.Internal, mux)
 	return e, err
 }
 
--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -25,6 +25,8 @@
 	t      testing.TB
 	table  *jobs.Table
 	timing Timing
+	// callLimits are those of leaders that start later.
+	callLimits CallLimits
 
 	mu            sync.Mutex
 	workers       map[string]*fakeWorker
@@ -59,6 +61,7 @@
 	d := New(context.Background(), Config{
 		Log: clusterLog{c}, Table: c.table, WorkerClient: clusterWorkerClient{c}, Advisor: clusterAdvisor{c},
 		Clock: clock.System{}, Logger: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(), Timing: c.timing,
+		CallLimits: c.callLimits,
 	}, term)
 	done := make(chan struct{})
 	go func() {
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -36,6 +36,7 @@
 	Logger       *slog.Logger
 	Metrics      metrics.Registry
 	Timing       Timing
+	CallLimits   CallLimits
 }
 
 // Timing holds durations that follow from the platform's limits.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,6 +22,9 @@
 	leaderLease *leaderLease
 	advisorPool *advisorPool
 	ends        *endBatcher
+	holdSlots   *callSlots
+	orderSlots  *callSlots
+	workerCount atomic.Int64 // workers of all pools
 
 	ctx        context.Context //nolint:containedctx // ends with the term
 	cancel     context.CancelFunc
@@ -43,6 +47,8 @@
 		counters:    newCounters(config.Metrics),
 		leaderLease: &leaderLease{clock: config.Clock, length: config.Timing.leaseDuration()},
 		advisorPool: newAdvisorPool(),
+		holdSlots:   newCallSlots(config.CallLimits.Holds),
+		orderSlots:  newCallSlots(config.CallLimits.Orders),
 		pools:       make(map[string]*pool),
 	}
 	d.Logger = config.Logger.With("term", term)
@@ -178,8 +184,10 @@
 	}
 }
 
-// WorkerReported adds a worker or updates its record, which must be committed.
-func (d *Dispatcher) WorkerReported(record *apiv1.PoolWorker) {
+// WorkerChanged adds a worker or updates its record. It is called when the record has
+// been applied to the replicated table, so no task is started on a draining worker once
+// its report is acknowledged.
+func (d *Dispatcher) WorkerChanged(record *apiv1.PoolWorker) {
 	d.pool(record.GetService()).updateWorkerRecord(record)
 }
 
@@ -202,16 +210,29 @@
 }
 
 // forgetWorker removes the record of an ended incarnation from the replicated
-// table, so that later leaders don't wait for it.
+// table, so that later leaders don't wait for it. It repeats the command until it is
+// committed or the term ends: a worker that stayed in the table without being in its
+// pool would not be added again by its next report.
 func (d *Dispatcher) forgetWorker(record *apiv1.PoolWorker) {
 	d.spawn(func() {
 		incarnation := &apiv1.WorkerLife{Id: record.GetId(), BornUnixMs: record.GetBornUnixMs()}
-		if err := d.proposeCommand(&apiv1.JobsCommand{ForgetWorkers: []*apiv1.WorkerLife{incarnation}}); err != nil && d.ctx.Err() == nil {
+		for {
+			err := d.proposeCommand(&apiv1.JobsCommand{ForgetWorkers: []*apiv1.WorkerLife{incarnation}})
+			if err == nil || d.ctx.Err() != nil {
+				return
+			}
 			d.Logger.Warn("lost worker not removed from the table", "worker", record.GetId(), "error", err)
+			if sleep(d.ctx, forgetRetryInterval) != nil {
+				return
+			}
 		}
 	})
 }
 
+// forgetRetryInterval is the time between two attempts to remove a lost worker from the
+// replicated table.
+const forgetRetryInterval = 500 * time.Millisecond
+
 // maxForgottenPerCommand bounds the number of jobs removed by one command.
 const maxForgottenPerCommand = 500
 
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -19,13 +19,10 @@
 // holdLoop calls Hold, which renews the worker's leases and returns its active
 // and ended runs, until the worker is removed or ctx ends.
 func (p *pool) holdLoop(ctx context.Context, w *worker) {
-	for ctx.Err() == nil {
+	for p.d.holdSlots.acquire(ctx) {
 		sentAt := time.Now()
-		req := p.nextHoldRequest(w, sentAt)
-		holdTimeout := time.Duration(req.WaitMs)*time.Millisecond + holdTimeoutMargin
-		callCtx, cancel := context.WithTimeout(ctx, holdTimeout)
-		resp, err := p.d.WorkerClient.Hold(callCtx, w.record, req)
-		cancel()
+		resp, err := p.hold(ctx, w, sentAt)
+		p.d.holdSlots.release()
 		if ctx.Err() != nil {
 			return
 		}
@@ -46,6 +43,14 @@
 	}
 }
 
+// hold makes one Hold call.
+func (p *pool) hold(ctx context.Context, w *worker, now time.Time) (HoldResponse, error) {
+	req := p.nextHoldRequest(w, now)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.WaitMs)*time.Millisecond+holdTimeoutMargin)
+	defer cancel()
+	return p.d.WorkerClient.Hold(ctx, w.record, req)
+}
+
 // nextHoldRequest returns the next request for the worker and records the lease
 // that it grants.
 func (p *pool) nextHoldRequest(w *worker, now time.Time) HoldRequest {
@@ -61,11 +66,21 @@
 		}
 	}
 	if w.synced && !p.hasStoppingRun(w) && w.failedCalls == 0 {
-		req.WaitMs = min(maxHoldWait, p.d.Timing.leaseDuration()/3).Milliseconds()
+		req.WaitMs = p.holdWait().Milliseconds()
 	}
 	return req
 }
 
+// holdWait returns the length of a long poll. Three fit into a lease, also if there are
+// more workers than slots and each has to wait for its turn.
+func (p *pool) holdWait() time.Duration {
+	wait := min(maxHoldWait, p.d.Timing.leaseDuration()/3)
+	if workers := p.d.workerCount.Load(); workers > p.d.holdSlots.limit {
+		wait = wait * time.Duration(p.d.holdSlots.limit) / time.Duration(workers)
+	}
+	return wait
+}
+
 // hasStoppingRun reports whether a run is being stopped, so that the next report
 // is needed without a long poll.
 func (p *pool) hasStoppingRun(w *worker) bool {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -75,8 +75,14 @@
 func (p *pool) addInheritedWorker(record *apiv1.PoolWorker, oldLeaseEnd time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	w := p.workers[record.GetId()]
+	switch {
+	case w != nil && w.synced:
+		return // it reported a change during the takeover and has answered this leader
+	case w == nil:
+		w = p.addWorker(record)
+	}
 	p.unreconciled[record.GetId()] = oldLeaseEnd
-	w := p.addWorker(record)
 	w.leaseEnd = oldLeaseEnd
 }
 
@@ -133,6 +139,7 @@
 	w.cancel = cancel
 	p.workers[record.GetId()] = w
 	p.workerList = append(p.workerList, w)
+	p.d.workerCount.Add(1)
 	p.d.spawn(func() { p.holdLoop(ctx, w) })
 	return w
 }
@@ -155,6 +162,9 @@
 		p.removeWorker(w, "a new incarnation of the worker reported")
 		p.addWorker(record)
 	case w.record.GetBornUnixMs() == record.GetBornUnixMs():
+		if !RecordChanged(w.record, record) {
+			return
+		}
 		if record.GetDraining() != w.record.GetDraining() || record.GetGone() != w.leaving {
 			p.d.Logger.Info("worker draining or gone", "worker", record.GetId(), "draining", record.GetDraining(), "gone", record.GetGone(), "runs", len(w.runs))
 		}
@@ -173,6 +183,7 @@
 		"runs", len(w.runs), "heard_ms_ago", time.Since(w.reportedAt).Milliseconds())
 	p.d.counters.workersLost.Inc(1)
 	w.cancel()
+	p.d.workerCount.Add(-1)
 	w.lost = true
 	if p.workers[w.record.GetId()] == w {
 		delete(p.workers, w.record.GetId())
--- a/internal/dispatch/start_stop.go
+++ b/internal/dispatch/start_stop.go
@@ -46,21 +46,29 @@
 // used up. A request without a response may still be executed, so the run is then
 // stopped.
 func (p *pool) sendStart(r *run, checkpoint string) {
-	for attempt := 1; ; attempt++ {
-		req, ok := p.startRequest(r, checkpoint)
-		if !ok {
-			return
-		}
-		ctx, cancel := context.WithTimeout(p.d.ctx, startTimeout)
-		sentAt := time.Now()
-		resp, err := p.d.WorkerClient.Start(ctx, r.worker.record, req)
-		cancel()
-		if p.handleStartResult(r, resp, err, sentAt, attempt) {
+	for attempt := 1; p.d.orderSlots.acquire(p.d.ctx); attempt++ {
+		finished := p.attemptStart(r, checkpoint, attempt)
+		p.d.orderSlots.release()
+		if finished {
 			return
 		}
 	}
 }
 
+// attemptStart sends the start request once. It reports whether no further attempt is
+// needed.
+func (p *pool) attemptStart(r *run, checkpoint string, attempt int) bool {
+	req, ok := p.startRequest(r, checkpoint)
+	if !ok {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(p.d.ctx, startTimeout)
+	defer cancel()
+	sentAt := time.Now()
+	resp, err := p.d.WorkerClient.Start(ctx, r.worker.record, req)
+	return p.handleStartResult(r, resp, err, sentAt, attempt)
+}
+
 // startRequest returns the start request of a run and records the lease that it
 // grants. It returns false if the run must not be started any more.
 func (p *pool) startRequest(r *run, checkpoint string) (StartRequest, bool) {
@@ -128,6 +136,9 @@
 		p.discardUnstartedRun(r, "nothing listens", idlePassInterval)
 		w.failedCalls++
 		return true
+	case errors.Is(err, ErrNotSent) && attempt == 1:
+		p.discardUnstartedRun(r, "no connection in time", idlePassInterval)
+		return true
 	case err != nil && attempt < maxStartAttempts:
 		r.reason = "start unanswered"
 		return false
@@ -213,10 +224,11 @@
 // is certain that it does not run.
 func (p *pool) sendStop(r *run) {
 	req := StopRequest{Task: r.name, Run: r.number, Token: p.d.term}
-	for p.d.ctx.Err() == nil {
+	for p.d.orderSlots.acquire(p.d.ctx) {
 		ctx, cancel := context.WithTimeout(p.d.ctx, stopTimeout)
 		resp, err := p.d.WorkerClient.Stop(ctx, r.worker.record, req)
 		cancel()
+		p.d.orderSlots.release()
 		p.mu.Lock()
 		if r.worker.runs[r.key()] != r {
 			p.mu.Unlock()
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -84,7 +84,7 @@
 	c.eventually("the worker is removed", func() bool { return len(c.table.Workers()) == 0 })
 	w1.withLock(func() { w1.silent = false })
 	c.table.Apply(0, &apiv1.JobsCommand{Workers: []*apiv1.PoolWorker{w1.record}})
-	d.WorkerReported(w1.record)
+	d.WorkerChanged(w1.record)
 	c.eventually("the task runs there again", func() bool { return len(w1.running()) == 1 })
 }
 
@@ -122,7 +122,7 @@
 	c.workers["w1"] = newIncarnation
 	c.mu.Unlock()
 	c.table.Apply(0, &apiv1.JobsCommand{Workers: []*apiv1.PoolWorker{newIncarnation.record}})
-	d.WorkerReported(newIncarnation.record)
+	d.WorkerChanged(newIncarnation.record)
 	c.eventually("the task runs in the new incarnation", func() bool { return len(newIncarnation.running()) == 1 })
 	newIncarnation.finishAll(done)
 	c.eventually("the job is completed", func() bool { return c.state("job") == apiv1.JobState_JOB_STATE_COMPLETED })
--- a/internal/dispatch/worker_client.go
+++ b/internal/dispatch/worker_client.go
@@ -9,8 +9,8 @@
 )
 
 // WorkerClient sends requests to workers. After any error except
-// ErrOtherIncarnation and ErrNoListener, the request may have been executed or
-// may still be.
+// ErrOtherIncarnation, ErrNoListener and ErrNotSent, the request may have been
+// executed or may still be.
 type WorkerClient interface {
 	Start(ctx context.Context, worker *apiv1.PoolWorker, request StartRequest) (Response, error)
 	Stop(ctx context.Context, worker *apiv1.PoolWorker, request StopRequest) (Response, error)
@@ -21,6 +21,7 @@
 var (
 	ErrOtherIncarnation = errors.New("another incarnation answers at the worker's address")
 	ErrNoListener       = errors.New("nothing listens at the worker's address")
+	ErrNotSent          = errors.New("no connection to the worker was available in time")
 )
 
 // StartRequest tells a worker to run a task.
--- a/internal/state/jobs/table.go
+++ b/internal/state/jobs/table.go
@@ -36,6 +36,8 @@
 type Observer interface {
 	JobAccepted(job *apiv1.CallerJob)
 	JobCancelled(id string)
+	// WorkerChanged passes the worker's new record, which must not be modified.
+	WorkerChanged(record *apiv1.PoolWorker)
 }
 
 // SetObserver replaces the observer; nil removes it.
@@ -68,7 +70,10 @@
 		t.publish(published)
 	}
 	for _, worker := range command.GetWorkers() {
-		t.setWorker(worker)
+		stored := t.setWorker(worker)
+		if observer := t.observer.Load(); observer != nil && stored != nil {
+			(*observer).WorkerChanged(stored)
+		}
 	}
 	for _, accepted := range command.GetAccept() {
 		isNew := t.accept(accepted)
--- a/internal/state/jobs/workers.go
+++ b/internal/state/jobs/workers.go
@@ -10,13 +10,14 @@
 )
 
 // setWorker stores what a worker announced about itself, unless a later incarnation
-// is known. Within one incarnation, draining and gone are never reset.
-func (t *Table) setWorker(worker *apiv1.PoolWorker) {
+// is known. Within one incarnation, draining and gone are never reset. It returns the
+// stored record, or nil if none was stored.
+func (t *Table) setWorker(worker *apiv1.PoolWorker) *apiv1.PoolWorker {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	current := t.workers[worker.GetId()]
 	if current != nil && current.GetBornUnixMs() > worker.GetBornUnixMs() {
-		return
+		return nil
 	}
 	stored := proto.CloneOf(worker)
 	if current != nil && current.GetBornUnixMs() == worker.GetBornUnixMs() {
@@ -24,6 +25,7 @@
 		stored.Gone = stored.GetGone() || current.GetGone()
 	}
 	t.workers[worker.GetId()] = stored
+	return stored
 }
 
 // forgetWorkers deletes ended incarnations of workers. A worker with a later
--- a/test/failure/soak_cell_test.go
+++ b/test/failure/soak_cell_test.go
@@ -44,6 +44,7 @@
 	checker       *soakChecker
 	gangs         soakGangs
 	dir           string
+	descriptors   int        // limit of each daemon, as the platform states it; 0: none
 	addressOctet  int        // second octet of the cell's loopback addresses, which depends on the seed
 	diskFaultLock sync.Mutex // serializes the choice of a control process whose disk is damaged
 
@@ -64,6 +65,7 @@
 	dataDir      string // empty: none
 	link         *relay.Relay
 	settings     func(bootstrap bool) string
+	descriptors  int // limit that the kernel enforces; 0: none
 
 	faultLock sync.Mutex // held by a fault that signals the process or keeps it down
 
@@ -80,7 +82,17 @@
 // bootstrap it.
 func newSoakCell(t testing.TB, seed int64) *soakCell {
 	t.Helper()
-	c := &soakCell{t: t, checker: newSoakChecker(), dir: soakDir(t, seed), addressOctet: 1 + int(uint64(seed)%200)}
+	return newLimitedSoakCell(t, seed, soakWorkerCount, 0)
+}
+
+// newLimitedSoakCell starts a cell with the number of workers. The daemons may have as
+// many descriptors open as given; 0: no limit.
+func newLimitedSoakCell(t testing.TB, seed int64, workerCount, descriptors int) *soakCell {
+	t.Helper()
+	c := &soakCell{
+		t: t, checker: newSoakChecker(), dir: soakDir(t, seed), descriptors: descriptors,
+		addressOctet: 1 + int(uint64(seed)%200),
+	}
 	for i := range soakControlCount {
 		c.control = append(c.control, c.newProcess("control", i))
 	}
@@ -88,7 +100,7 @@
 		c.entries = append(c.entries, c.newProcess("entry", i))
 	}
 	t.Cleanup(c.stop)
-	for i := range soakWorkerCount {
+	for i := range workerCount {
 		c.workers = append(c.workers, startSoakWorker(c, fmt.Sprintf("i-%d", i), seed+int64(i)))
 	}
 	for _, p := range c.daemons() {
@@ -134,7 +146,7 @@
 	name := fmt.Sprintf("%s-%d", role, index)
 	p := &soakProcess{
 		t: c.t, checker: c.checker, name: name, config: filepath.Join(c.dir, name+".toml"),
-		logPath:      filepath.Join(c.dir, name+".log"),
+		logPath: filepath.Join(c.dir, name+".log"), descriptors: c.descriptors,
 		advertisedIP: fmt.Sprintf("127.%d.%d.%d", c.addressOctet, kind, index+1),
 		listenIP:     fmt.Sprintf("127.%d.%d.%d", c.addressOctet, 10+kind, index+1),
 	}
@@ -181,6 +193,7 @@
 internal = %q
 [limits]
 memory_mb = 284
+max_fds = %d
 [fault_tolerance]
 machines = 1
 [bounds]
@@ -190,7 +203,7 @@
 early_ms = 250
 status_s = 600
 `, p.name, role, serves, p.advertisedIP, soakFirstPort, soakFirstPort+9, strings.Join(seeds, ","), bootstrap, dataDir,
-		p.listenIP, soakFirstPort+10, p.listenIP, soakFirstPort+11, p.listenIP, soakFirstPort+12, p.listenIP,
+		p.listenIP, soakFirstPort+10, p.listenIP, soakFirstPort+11, p.listenIP, soakFirstPort+12, p.listenIP, c.descriptors,
 		soakCatchUpBound.Seconds(), soakShutdownGrace.Seconds(), soakMaxHold.Milliseconds())
 }
 
@@ -237,6 +250,9 @@
 		p.t.Error(err)
 		return
 	}
+	if p.descriptors > 0 {
+		p.limitDescriptors(command.Process.Pid)
+	}
 	exited := make(chan struct{})
 	p.command, p.ended, p.shouldRun = command, exited, true
 	go func() {
