--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -31,6 +31,11 @@
 // soft memory limit, at which the garbage collector works hardest.
 const memoryLimitFraction = 0.6
 
+// controlGCPercent is the garbage collector's target on control processes. The leader
+// allocates for every call to a worker, and its live heap is small compared to the memory
+// limit: collecting half as often as by default leaves more processor time in bursts.
+const controlGCPercent = 200
+
 // RunOnPlatform runs the role that the platform's settings name until ctx ends,
 // and then shuts it down. It returns an error if it can't read the settings or
 // listen on an address, or if the data folder fails.
@@ -43,6 +48,9 @@
 	if settings.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.Limits.MemoryMB<<20)))
 	}
+	if settings.ServesControl() {
+		debug.SetGCPercent(controlGCPercent)
+	}
 	out := logging.NewAsyncWriter(os.Stdout)
 	defer out.Close()
 	logger, err := logging.New(out, "json", "info")
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -137,31 +137,6 @@
 	return chosen, fitting
 }
 
-// newWorkersToAskAbout returns at most maxWorkers workers that the policy service
-// has not been asked about, those with the most free capacity first. They are so
-// many that the share of them that it usually allows has enough capacity for the
-// tasks.
-func (p *pool) newWorkersToAskAbout(u *unit, maxWorkers, tasks int, now time.Time) []*worker {
-	var options []workerFit
-	for _, w := range p.workerList {
-		if p.mayStartOn(w, u, now) && !u.advice.wasAskedAbout(w) {
-			options = append(options, workerFit{w, p.freeFit(w, u)})
-		}
-	}
-	sortByFit(options)
-	share := p.allowedShare(u.job.queue.GetName())
-	var chosen []*worker
-	found := 0.0
-	for i, opt := range options {
-		if len(chosen) >= maxWorkers || (found >= newWorkerFitFactor*float64(tasks) && i >= minWorkersPerCall) {
-			break
-		}
-		chosen = append(chosen, opt.worker)
-		found += share * (freeFitWeight*float64(opt.fitting) + emptyFitWeight*float64(opt.worker.capacity.fitCount(u.size)))
-	}
-	return chosen
-}
-
 // workerFit is a worker and the number of a unit's tasks that fit on it.
 type workerFit struct {
 	worker  *worker
@@ -201,6 +176,18 @@
 	return fitting
 }
 
+// advisorAvailable reports whether the shortest call for the unit could be made now. If
+// not, the next attempt is postponed: with many waiting units, choosing the workers for
+// calls that can't be made would take most of a pass.
+func (p *pool) advisorAvailable(u *unit, now time.Time) bool {
+	if p.d.advisorPool.available(now, adviceCost(u.job.queue.GetPolicy(), minWorkersPerCall), u.rank.band) {
+		return true
+	}
+	p.d.counters.adviceDeferred.Inc(1)
+	u.advice.retryAt = now.Add(minAdviceRetry)
+	return false
+}
+
 // requestAdvice starts a call to the policy service for the unit, or postpones it
 // if no advisor is available soon enough. The caller holds the lock.
 func (p *pool) requestAdvice(u *unit, workers []*worker, now time.Time) {
--- a/internal/dispatch/advisor_pool.go
+++ b/internal/dispatch/advisor_pool.go
@@ -57,6 +57,13 @@
 	a.advisorsByAddress[address].lastSeen = now
 }
 
+// available reports whether a call of the cost would wait no longer than maxAdviceWait.
+func (a *advisorPool) available(now time.Time, cost time.Duration, b band) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.soonest(now, cost, b).waitAt(now) <= maxAdviceWait[b]
+}
+
 // pick returns the address of the entry that is expected to answer first, and adds
 // the cost of the call to its queue. It returns false if the call would wait there
 // longer than maxAdviceWait. The address is empty if no entry is known and this VM
@@ -64,6 +71,17 @@
 func (a *advisorPool) pick(now time.Time, cost time.Duration, b band) (address string, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	best := a.soonest(now, cost, b)
+	if best.waitAt(now) > maxAdviceWait[b] {
+		return "", false
+	}
+	best.busyUntil = latestOf(best.busyUntil, now).Add(cost)
+	return best.address, true
+}
+
+// soonest returns the entry that is expected to answer first, or this VM if none may make
+// the call. The caller holds the lock.
+func (a *advisorPool) soonest(now time.Time, cost time.Duration, b band) *advisor {
 	var best *advisor
 	for _, adv := range a.eligible(now, cost, b) {
 		if best == nil || adv.preferredTo(best, now) {
@@ -71,16 +89,14 @@
 		}
 	}
 	if best == nil {
-		best = &a.localAdvisor
-	}
-	callStart := latestOf(best.busyUntil, now)
-	if callStart.Sub(now) > maxAdviceWait[b] {
-		return "", false
+		return &a.localAdvisor
 	}
-	best.busyUntil = callStart.Add(cost)
-	return best.address, true
+	return best
 }
 
+// waitAt returns how long a call made now is expected to queue.
+func (o *advisor) waitAt(now time.Time) time.Duration { return latestOf(o.busyUntil, now).Sub(now) }
+
 // eligible returns the entries that may make the call, and drops expired ones. A
 // share of the entries is reserved for short urgent calls, so that these don't
 // queue behind others.
--- a/internal/dispatch/fake_worker_test.go
+++ b/internal/dispatch/fake_worker_test.go
@@ -34,6 +34,7 @@
 	lostStarts   []StartRequest // those requests, until deliverLostStarts executes them
 	discardLost  bool           // lost start requests are not kept in lostStarts
 	starts       []StartRequest // requests that started a run
+	holds        int            // hold requests answered
 	endAdded     chan struct{}  // signals a new end
 }
 
@@ -173,6 +174,7 @@
 		return HoldResponse{}, err
 	}
 	w.endExpiredRuns()
+	w.holds++
 	resp := HoldResponse{ClockMs: w.nowMs(), BornUnixMs: w.record.GetBornUnixMs(), Ended: append([]EndedRun(nil), w.ended...)}
 	for key := range w.runs {
 		resp.Active = append(resp.Active, ActiveRun{Task: key.name, Run: key.number, Percent: 100})
@@ -232,6 +234,13 @@
 	change()
 }
 
+// holdCount returns how many hold requests were answered.
+func (w *fakeWorker) holdCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.holds
+}
+
 // startCount returns how many runs were started on the worker.
 func (w *fakeWorker) startCount() int {
 	w.mu.Lock()
--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -31,30 +31,34 @@
 	return u.limitPerWorker(w, free.fitCount(u.size))
 }
 
-// forecast holds the resources that each worker is expected to have free at each
-// reservation horizon.
+// forecast tells the resources that workers are expected to have free at each reservation
+// horizon. It computes each worker's once, from the runs at that moment.
 type forecast struct {
 	now  time.Time
 	free map[*worker]*[len(reservationHorizons)]resources // indexed like reservationHorizons
 }
 
-// newForecast computes the forecast from the workers' current runs.
-func newForecast(workers []*worker, now time.Time) *forecast {
-	f := &forecast{now: now, free: make(map[*worker]*[len(reservationHorizons)]resources, len(workers))}
-	for _, w := range workers {
-		free := &[len(reservationHorizons)]resources{}
-		for i := range free {
-			free[i] = w.free
-		}
-		for _, r := range w.runs {
-			end, known := r.expectedEnd(now)
-			for i, horizon := range reservationHorizons {
-				if known && !end.After(now.Add(horizon)) {
-					free[i].add(r.size)
-				}
+func newForecast(now time.Time) *forecast {
+	return &forecast{now: now, free: make(map[*worker]*[len(reservationHorizons)]resources)}
+}
+
+// freeOn returns the resources that the worker is expected to have free at each horizon.
+func (f *forecast) freeOn(w *worker) *[len(reservationHorizons)]resources {
+	if free := f.free[w]; free != nil {
+		return free
+	}
+	free := &[len(reservationHorizons)]resources{}
+	for i := range free {
+		free[i] = w.free
+	}
+	for _, r := range w.runs {
+		end, known := r.expectedEnd(f.now)
+		for i, horizon := range reservationHorizons {
+			if known && !end.After(f.now.Add(horizon)) {
+				free[i].add(r.size)
 			}
 		}
-		f.free[w] = free
 	}
-	return f
+	f.free[w] = free
+	return free
 }
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -108,7 +108,7 @@
 	case unplaced == 0:
 	case u.spec.GetGang():
 		p.reserveForGang(u, unplaced, pass)
-	case u.needsAdvice(now):
+	case u.needsAdvice(now) && p.advisorAvailable(u, now):
 		p.requestAdvice(u, p.workersToAskAbout(u, unplaced, now), now)
 	}
 }
@@ -119,7 +119,7 @@
 func (p *pool) reserveForGang(u *unit, tasks int, pass *passState) {
 	outcome := p.reserve(u, tasks, pass)
 	p.logGangWait(u, tasks, outcome, pass)
-	if !u.needsAdvice(pass.now) {
+	if !u.needsAdvice(pass.now) || !p.advisorAvailable(u, pass.now) {
 		return
 	}
 	switch outcome {
--- a/internal/dispatch/pass_state.go
+++ b/internal/dispatch/pass_state.go
@@ -27,11 +27,11 @@
 	return total
 }
 
-// forecast returns the pass's forecast. It is computed on the first call and
-// not updated afterwards.
-func (s *passState) forecast(workers []*worker) *forecast {
+// forecast returns the pass's forecast. What it has computed of a worker is not updated
+// by later placements of the pass.
+func (s *passState) forecast() *forecast {
 	if s.cachedForecast == nil {
-		s.cachedForecast = newForecast(workers, s.now)
+		s.cachedForecast = newForecast(s.now)
 	}
 	return s.cachedForecast
 }
--- a/internal/dispatch/reservation.go
+++ b/internal/dispatch/reservation.go
@@ -72,7 +72,7 @@
 	if totalFit(available, u) < tasks {
 		return reservationTooFewWorkers
 	}
-	chosen, expectedStart := workersForReservation(u, available, tasks, pass.forecast(p.workerList))
+	chosen, expectedStart := workersForReservation(u, available, tasks, pass.forecast())
 	if len(chosen) == 0 {
 		return reservationTooFewWorkers
 	}
@@ -167,7 +167,7 @@
 		var options []workerFit
 		total := 0
 		for _, w := range workers {
-			fitting := u.limitPerWorker(w, forecast.free[w][i].fitCount(u.size))
+			fitting := u.limitPerWorker(w, forecast.freeOn(w)[i].fitCount(u.size))
 			options = appendFit(options, w, fitting)
 			total += max(0, fitting)
 		}
