dispatch: preemption, reserved workers left alone, estimated retransmission, contained panics

Gangs whose capacity never came. Change: other units name and use reserved workers last. TestUrgentTasksPreferWorkersThatAreNotReserved. 2. Preemption: a unit that has to start within 2.5 s to be on time stops runs that save their progress when stopped and whose jobs are late already or stay on time. Ruled out: preempting before the window (stops of 30 runs for each gang cost the leader more than waiting). Cause: an order without an answer was sent again after 600 ms; and, weighing more, a long poll without an answer hid the ends of runs for up to 2.7 s (ends of one worker all came in at once, traced). A panic in one placement, call or report is logged with its stack and counted (dispatch.panics) and ends nothing else.

Also: an entry is not ready as soon as it refuses calls for want of a leader (1.5 s, was 3 s): an election takes less, so it is probably cut off, and others serve its callers.

--- a/internal/daemon/platform_control.go
+++ b/internal/daemon/platform_control.go
@@ -86,6 +86,7 @@
 				MaxLease:           platform.Milliseconds(bounds.MaxHoldMs),
 				EarlyStart:         platform.Milliseconds(bounds.EarlyStartMs),
 				JobStatusRetention: platform.Seconds(bounds.JobStatusSeconds),
+				StopTime:           platform.Milliseconds(bounds.StopTimeoutMs),
 			},
 		},
 	})
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -212,7 +212,11 @@
 	p.d.spawn(func() {
 		ctx, cancel := context.WithTimeout(p.d.ctx, cost+adviceTimeoutMargin)
 		defer cancel()
-		resp, err := p.d.Advisor.Advise(ctx, address, u.name(), names)
+		var resp *apiv1.AdviseResponse
+		err := errPanicked
+		p.d.contain("a call to the policy service", u.name(), func() {
+			resp, err = p.d.Advisor.Advise(ctx, address, u.name(), names)
+		})
 		p.handleAdvice(u, address, workers, resp, err, now)
 	})
 }
--- a/internal/dispatch/advice_options.go
+++ b/internal/dispatch/advice_options.go
@@ -13,8 +13,9 @@
 	// sufficientOptions is the number of workers that each hold their share of the tasks
 	// after which no others are looked at.
 	sufficientOptions = 2 * minWorkersPerCall
-	// maxExamined bounds the workers that are looked at for a call, so that the cost does
-	// not grow with the pool: four for each that the call can name.
+	// maxExamined bounds the workers that are looked at for a call about single tasks, so
+	// that the cost does not grow with the pool: four for each that the call can name.
+	// Gangs are few and need the emptiest workers.
 	maxExamined = 4 * maxWorkersPerCall
 )
 
@@ -39,7 +40,8 @@
 }
 
 // adviceOptions returns workers that the unit may start on and has not asked about, by
-// descending number of fitting tasks, where numbers from enough on count as equal.
+// descending number of fitting tasks, where numbers from enough on count as equal. Workers
+// that are reserved for another unit come last.
 //
 // Load pattern: a burst of small jobs, as after an outage. Workers that count as equal
 // follow in an order of the unit's own; if all units asked about the same emptiest workers,
@@ -49,7 +51,7 @@
 	levels := make([][]workerFit, enough+1)
 	sufficient, examined := 0, 0
 	for w := range u.workersInOwnOrder(p.workerList) {
-		if examined++; examined > maxExamined {
+		if examined++; examined > maxExamined && !u.spec.GetGang() {
 			break
 		}
 		if u.advice.wasAskedAbout(w) || !p.mayStartOn(w, u, now) {
@@ -57,6 +59,9 @@
 		}
 		fitting := p.freeFit(w, u)
 		level := min(fitting, enough)
+		if w.isReservedForOther(u) {
+			level = 0
+		}
 		levels[level] = append(levels[level], workerFit{w, fitting})
 		if level == enough {
 			if sufficient++; sufficient >= sufficientOptions {
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -44,6 +44,7 @@
 	MaxLease           time.Duration // longest lease that a worker accepts
 	EarlyStart         time.Duration // how much before its due time an occurrence may start
 	JobStatusRetention time.Duration // how long callers may query a finished job
+	StopTime           time.Duration // how long a worker may take to stop a run
 }
 
 // leaseDuration returns the length of the leader lease and of the workers'
@@ -64,14 +65,13 @@
 const (
 	// leaderLeaseRenewInterval is the pause between renewals of the leader lease.
 	leaderLeaseRenewInterval = 250 * time.Millisecond
-	// startTimeout and stopTimeout bound one call to a worker.
-	startTimeout = 600 * time.Millisecond
-	stopTimeout  = 600 * time.Millisecond
 	// maxHoldWait limits the long poll of a Hold call, which is also at most a
 	// third of the lease.
-	maxHoldWait = 2 * time.Second
-	// holdTimeoutMargin is added to the long poll to get the timeout of a Hold call.
-	holdTimeoutMargin = 700 * time.Millisecond
+	maxHoldWait = time.Second
+	// minHoldTimeoutMargin and maxHoldTimeoutMargin bound what is added to the long poll
+	// to get the timeout of a Hold call.
+	minHoldTimeoutMargin = 300 * time.Millisecond
+	maxHoldTimeoutMargin = 700 * time.Millisecond
 	// proposeTimeout bounds one proposal. After a timeout it is unknown whether
 	// the command was committed.
 	proposeTimeout = 4 * time.Second
--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -8,6 +8,7 @@
 	startsSent, startsConfirmed, startsRefused, startsUnanswered metrics.Counter
 	endsDone, endsFailed, endsOther                              metrics.Counter
 	runsStopped, runsLost, workersLost, workersQuarantined       metrics.Counter
+	runsPreempted, panics                                        metrics.Counter
 	adviceRequests, adviceWorkersNamed, adviceFailed             metrics.Counter
 	adviceDeferred                                               metrics.Counter
 	timeToFirstStart, startLatency, adviceLatency                metrics.Histogram // ms
@@ -28,6 +29,7 @@
 		startsSent: counter("runs.ordered"), startsConfirmed: counter("runs.started"),
 		startsRefused: counter("runs.refused"), startsUnanswered: counter("runs.unclear"),
 		endsDone: counter("ends.done"), endsFailed: counter("ends.failed"), endsOther: counter("ends.other"),
+		runsPreempted: counter("runs.preempted"), panics: counter("panics"),
 		runsStopped: counter("runs.stopped"), runsLost: counter("runs.lost"),
 		workersLost: counter("workers.lost"), workersQuarantined: counter("workers.set_aside"),
 		adviceRequests: counter("advice.asked"), adviceWorkersNamed: counter("advice.names"), adviceFailed: counter("advice.failed"),
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -158,7 +158,7 @@
 		return
 	}
 	d.goroutines.Go(func() error {
-		work()
+		d.contain("a task of the dispatcher", "", work)
 		return nil
 	})
 }
--- a/internal/dispatch/end_batcher.go
+++ b/internal/dispatch/end_batcher.go
@@ -53,6 +53,9 @@
 	batch := b.collecting
 	b.collecting = nil
 	b.mu.Unlock()
-	batch.err = b.d.proposeCommand(&apiv1.JobsCommand{Ends: batch.ends})
-	close(batch.done)
+	batch.err = errPanicked
+	defer close(batch.done)
+	b.d.contain("the commit of ends", "", func() {
+		batch.err = b.d.proposeCommand(&apiv1.JobsCommand{Ends: batch.ends})
+	})
 }
--- a/internal/dispatch/fake_worker_test.go
+++ b/internal/dispatch/fake_worker_test.go
@@ -12,6 +12,9 @@
 
 var errNoResponse = errors.New("no response")
 
+// savedAtStop is the checkpoint that runs save when they are stopped.
+const savedAtStop = "saved at a stop"
+
 // fakeWorker implements the platform's worker protocol: it keeps the highest
 // fencing token, refuses to start runs that were stopped, and forgets acknowledged
 // ends.
@@ -29,9 +32,11 @@
 	ackCursor    int64
 
 	noListener   bool           // calls fail with ErrNoListener
+	panics       bool           // the client panics in calls to this worker
 	silent       bool           // requests are neither executed nor answered
 	startsToLose int            // number of start requests that will get no response
 	lostStarts   []StartRequest // those requests, until deliverLostStarts executes them
+	holdsToLose  int            // number of long polls that will get no response
 	discardLost  bool           // lost start requests are not kept in lostStarts
 	starts       []StartRequest // requests that started a run
 	holds        int            // hold requests answered
@@ -74,7 +79,18 @@
 	return nil
 }
 
+// panicIfBroken panics in place of a faulty client.
+func (w *fakeWorker) panicIfBroken() {
+	w.mu.Lock()
+	broken := w.panics
+	w.mu.Unlock()
+	if broken {
+		panic("a fault of the client")
+	}
+}
+
 func (w *fakeWorker) start(req StartRequest) (Response, error) {
+	w.panicIfBroken()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.callError(); err != nil {
@@ -125,6 +141,7 @@
 }
 
 func (w *fakeWorker) stop(req StopRequest) (Response, error) {
+	w.panicIfBroken()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.callError(); err != nil {
@@ -142,6 +159,7 @@
 }
 
 func (w *fakeWorker) hold(ctx context.Context, req HoldRequest) (HoldResponse, error) {
+	w.panicIfBroken()
 	w.mu.Lock()
 	if err := w.callError(); err != nil {
 		w.mu.Unlock()
@@ -168,6 +186,10 @@
 		case <-time.After(time.Duration(req.WaitMs) * time.Millisecond):
 		}
 	}
+	if wait && w.loseHold() {
+		<-ctx.Done()
+		return HoldResponse{}, ctx.Err()
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.callError(); err != nil {
@@ -182,12 +204,27 @@
 	return resp, nil
 }
 
+// loseHold reports whether a long poll gets no response.
+func (w *fakeWorker) loseHold() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.holdsToLose == 0 {
+		return false
+	}
+	w.holdsToLose--
+	return true
+}
+
 // endLocked ends a run and wakes a waiting hold call. The caller holds the lock.
 func (w *fakeWorker) endLocked(key runKey, outcome apiv1.RunOutcome) {
 	delete(w.runs, key)
 	w.lastSequence++
 	w.highestEnded[key.name] = max(w.highestEnded[key.name], key.number)
-	w.ended = append(w.ended, EndedRun{Sequence: w.lastSequence, Task: key.name, Run: key.number, Outcome: outcome})
+	end := EndedRun{Sequence: w.lastSequence, Task: key.name, Run: key.number, Outcome: outcome}
+	if outcome == apiv1.RunOutcome_RUN_OUTCOME_STOPPED {
+		end.Checkpoint = savedAtStop
+	}
+	w.ended = append(w.ended, end)
 	select {
 	case w.endAdded <- struct{}{}:
 	default:
--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -19,16 +19,33 @@
 	return latestOf(r.startSent.Add(estimate), now.Add(time.Duration(overrunAllowance*float64(estimate)))), true
 }
 
+// nextExpectedEnd returns when the first of the worker's runs is expected to end, if that
+// is known of any.
+func (w *worker) nextExpectedEnd(now time.Time) (next time.Time, known bool) {
+	for _, r := range w.runs {
+		if end, ok := r.expectedEnd(now); ok && (!known || end.Before(next)) {
+			next, known = end, true
+		}
+	}
+	return next, known
+}
+
 // expectedFit returns how many of the unit's tasks are expected to fit on the
 // worker at the given time if nothing else starts there.
 func (w *worker) expectedFit(u *unit, now, by time.Time) int {
+	return u.limitPerWorker(w, w.freeBy(now, by).fitCount(u.size))
+}
+
+// freeBy returns the resources that are expected to be free on the worker at the given time
+// if nothing else starts there.
+func (w *worker) freeBy(now, by time.Time) resources {
 	free := w.free
 	for _, r := range w.runs {
 		if end, known := r.expectedEnd(now); known && !end.After(by) {
 			free.add(r.size)
 		}
 	}
-	return u.limitPerWorker(w, free.fitCount(u.size))
+	return free
 }
 
 // forecast tells the resources that workers are expected to have free at each reservation
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -11,6 +11,12 @@
 
 const (
 	holdRetry = 100 * time.Millisecond // backoff after a failed Hold call
+	// minBusyHoldWait is the shortest long poll to a worker with runs; shorter ones would
+	// cost more than an answer that comes earlier is worth.
+	minBusyHoldWait = 400 * time.Millisecond
+	// holdSlack is how much longer than the expected end of a run a poll waits, so that
+	// most ends arrive within it.
+	holdSlack = 200 * time.Millisecond
 	// noListenerCallLimit is the number of consecutive calls that find no listener
 	// at the worker's address after which its incarnation is considered ended.
 	noListenerCallLimit = 2
@@ -19,36 +25,51 @@
 // holdLoop calls Hold, which renews the worker's leases and returns its active
 // and ended runs, until the worker is removed or ctx ends.
 func (p *pool) holdLoop(ctx context.Context, w *worker) {
-	for p.d.holdSlots.acquire(ctx) {
-		sentAt := time.Now()
-		resp, err := p.hold(ctx, w, sentAt)
-		p.d.holdSlots.release()
-		if ctx.Err() != nil {
+	for proceed := true; proceed; {
+		completed := p.d.contain("a report of a worker", w.record.GetId(), func() { proceed = p.holdOnce(ctx, w) })
+		if !completed && sleep(ctx, panicBackoff) != nil {
 			return
 		}
-		if err != nil {
-			if !p.handleHoldError(w, err) || sleep(ctx, holdRetry) != nil {
-				return
-			}
-			continue
-		}
-		ends, ok := p.handleHoldResponse(w, sentAt, resp)
-		if !ok {
-			return
-		}
-		needsBackoff := resp.Fenced || (len(ends) > 0 && !p.commitEnds(ctx, w, ends))
-		if needsBackoff {
-			_ = sleep(ctx, holdRetry)
-		}
 	}
 }
 
-// hold makes one Hold call.
-func (p *pool) hold(ctx context.Context, w *worker, now time.Time) (HoldResponse, error) {
-	req := p.nextHoldRequest(w, now)
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.WaitMs)*time.Millisecond+holdTimeoutMargin)
+// holdOnce makes one Hold call and handles its response. It returns false once the worker
+// is removed or ctx has ended.
+func (p *pool) holdOnce(ctx context.Context, w *worker) (proceed bool) {
+	resp, sentAt, err := p.hold(ctx, w)
+	if ctx.Err() != nil {
+		return false
+	}
+	if err != nil {
+		return p.handleHoldError(w, err) && sleep(ctx, holdRetry) == nil
+	}
+	ends, ok := p.handleHoldResponse(w, sentAt, resp)
+	if !ok {
+		return false
+	}
+	if resp.Fenced || (len(ends) > 0 && !p.commitEnds(ctx, w, ends)) {
+		return sleep(ctx, holdRetry) == nil
+	}
+	return true
+}
+
+// hold makes one Hold call once there is a slot for it.
+func (p *pool) hold(ctx context.Context, w *worker) (resp HoldResponse, sentAt time.Time, err error) {
+	if !p.d.holdSlots.acquire(ctx) {
+		return HoldResponse{}, time.Time{}, ctx.Err()
+	}
+	defer p.d.holdSlots.release()
+	sentAt = time.Now()
+	req := p.nextHoldRequest(w, sentAt)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.WaitMs)*time.Millisecond+p.holdTimeoutMargin())
 	defer cancel()
-	return p.d.WorkerClient.Hold(ctx, w.record, req)
+	resp, err = p.d.WorkerClient.Hold(ctx, w.record, req)
+	return resp, sentAt, err
+}
+
+// holdTimeoutMargin returns how much longer than its long poll a Hold call may take.
+func (p *pool) holdTimeoutMargin() time.Duration {
+	return min(max(2*p.attemptTimeout(), minHoldTimeoutMargin), maxHoldTimeoutMargin)
 }
 
 // nextHoldRequest returns the next request for the worker and records the lease
@@ -66,15 +87,21 @@
 		}
 	}
 	if w.synced && !p.hasStoppingRun(w) && w.failedCalls == 0 {
-		req.WaitMs = p.holdWait().Milliseconds()
+		req.WaitMs = p.holdWait(w, now).Milliseconds()
 	}
 	return req
 }
 
-// holdWait returns the length of a long poll. Three fit into a lease, also if there are
-// more workers than slots and each has to wait for its turn.
-func (p *pool) holdWait() time.Duration {
+// holdWait returns the length of a long poll to the worker. Three fit into a lease, also
+// if there are more workers than slots and each has to wait for its turn.
+//
+// Load pattern: workers that leave some requests unanswered. The ends of runs are learned
+// only once such a poll has timed out, so it ends soon after a run is expected to end.
+func (p *pool) holdWait(w *worker, now time.Time) time.Duration {
 	wait := min(maxHoldWait, p.d.Timing.leaseDuration()/3)
+	if next, ok := w.nextExpectedEnd(now); ok {
+		wait = min(wait, max(next.Sub(now)+holdSlack, minBusyHoldWait))
+	}
 	if workers := p.d.workerCount.Load(); workers > p.d.holdSlots.limit {
 		wait = wait * time.Duration(p.d.holdSlots.limit) / time.Duration(workers)
 	}
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -18,7 +18,9 @@
 	nowUnixMs := p.d.nowUnixMs()
 	state := &passState{now: now}
 	for _, u := range p.waitingUnits(now, nowUnixMs) {
-		p.placeUnit(u, state)
+		if !p.d.contain("the placement of a unit", u.name(), func() { p.placeUnit(u, state) }) {
+			u.suspendedUntil = now.Add(panicBackoff)
+		}
 	}
 }
 
@@ -28,7 +30,7 @@
 	var found []*unit
 	for _, j := range p.jobs {
 		for _, u := range j.units {
-			if u.remaining == 0 {
+			if u.remaining == 0 || now.Before(u.suspendedUntil) {
 				continue
 			}
 			if !u.ready(nowUnixMs) {
@@ -104,6 +106,9 @@
 		p.startRuns(u, placed, now)
 	}
 	unplaced := len(waiting) - len(placed)
+	if unplaced > 0 && !u.spec.GetGang() {
+		p.preemptForTasks(u, unplaced, now)
+	}
 	switch {
 	case unplaced == 0:
 	case u.spec.GetGang():
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -53,6 +53,10 @@
 	penaltyFailedHere = 1 << 40 // this task has failed on the worker before
 	penaltySuspect    = 1 << 30 // runs have failed on the worker since its last success
 	penaltyRemoteData = 1 << 25 // the task's data is on another rack
+	// penaltyReserved: a waiting gang has reserved the worker. Urgent tasks may start there
+	// all the same; if they did so while there is room elsewhere, the gang would never find
+	// its capacity free.
+	penaltyReserved = 1 << 24
 )
 
 // placementCost rates a worker for a task; lower is better. Workers with less free
@@ -68,6 +72,9 @@
 	if rack := u.spec.GetDataRack(); rack != "" && !w.hasLabel(rack) {
 		taskCost += penaltyRemoteData
 	}
+	if w.isReservedForOther(u) {
+		taskCost += penaltyReserved
+	}
 	return taskCost
 }
 
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -23,11 +23,12 @@
 	service string
 	wakeup  chan struct{} // requests a scheduling pass
 
-	mu            sync.Mutex         // guards the fields below and all workers, jobs, units, tasks and runs
-	workers       map[string]*worker // by id
-	workerList    []*worker          // the same workers
-	jobs          map[string]*job    // unfinished jobs, by id
-	allowedShares map[string]float64 // by queue; see allowedShare
+	mu            sync.Mutex          // guards the fields below and all workers, jobs, units, tasks and runs
+	workers       map[string]*worker  // by id
+	workerList    []*worker           // the same workers
+	jobs          map[string]*job     // unfinished jobs, by id
+	allowedShares map[string]float64  // by queue; see allowedShare
+	responseTimer retransmissionTimer // of start requests
 	// unreconciled holds the ids of workers on which the previous leader may have
 	// started runs that are not known yet, with the time when their leases expire.
 	unreconciled map[string]time.Time
@@ -57,7 +58,7 @@
 		case <-ticker.C:
 		}
 		passStart := time.Now()
-		p.runPass()
+		p.d.contain("a scheduling pass", p.service, p.runPass)
 		passDelay = min(max(minPassDelay, passRestFactor*time.Since(passStart)), maxPassDelay)
 	}
 }
--- a/internal/dispatch/reservation.go
+++ b/internal/dispatch/reservation.go
@@ -53,6 +53,7 @@
 // still hold them. Reservations of gangs of worse bands on those workers are released.
 func (p *pool) reserve(u *unit, tasks int, pass *passState) reservationOutcome {
 	if u.reservation != nil && p.reservationHolds(u, tasks, pass.now) {
+		p.preemptIfTooLate(u, tasks, pass)
 		return reservationHeld
 	}
 	if u.reservation != nil {
@@ -73,21 +74,31 @@
 		return reservationTooFewWorkers
 	}
 	chosen, expectedStart := workersForReservation(u, available, tasks, pass.forecast())
+	if len(chosen) == 0 && u.mayPreempt(pass.now) && p.preemptForGang(u, available, tasks, pass.now) {
+		pass.reserved = nil
+		return reservationHeld
+	}
 	if len(chosen) == 0 {
 		return reservationTooFewWorkers
 	}
 	if reserved > 0 && reserved+len(chosen) > limit {
 		return reservationNone
 	}
-	for _, w := range chosen {
+	p.holdReservation(u, chosen, expectedStart)
+	pass.reserved = nil
+	return reservationHeld
+}
+
+// holdReservation reserves the workers for the unit. Reservations of gangs of worse bands
+// on them are released.
+func (p *pool) holdReservation(u *unit, workers []*worker, expectedStart time.Time) {
+	for _, w := range workers {
 		if w.reservedFor != nil {
-			p.releaseReservation(w.reservedFor) // a gang of a worse band
+			p.releaseReservation(w.reservedFor)
 		}
 		w.reservedFor = u
 	}
-	u.reservation = &reservation{workers: chosen, expectedStart: expectedStart}
-	pass.reserved = nil
-	return reservationHeld
+	u.reservation = &reservation{workers: workers, expectedStart: expectedStart}
 }
 
 // allowsBackfill reports whether unit u may start tasks on the workers reserved for
--- a/internal/dispatch/reservation_test.go
+++ b/internal/dispatch/reservation_test.go
@@ -195,3 +195,27 @@
 	p.jobs[id] = j
 	return j.units[0]
 }
+
+// Load pattern: urgent tasks keep arriving while a gang waits for its reserved workers. As
+// long as there is room elsewhere they leave these alone, also if they would fit best
+// there; otherwise the gang's capacity would never be free all at once.
+func TestUrgentTasksPreferWorkersThatAreNotReserved(t *testing.T) {
+	is := is.New(t)
+	p := idlePool(4)
+	gang := waitingGang(p, 4)
+	gang.rank.band = bandOnTime
+	now := time.Now()
+	reserved, other := p.workerList[0], p.workerList[1]
+	p.holdReservation(gang, []*worker{reserved}, now.Add(time.Second))
+	reserved.free.subtract(gang.size) // the best fit
+	urgent := waitingGang(p, 1)
+	urgent.spec.Gang, urgent.rank.band = false, bandUrgent
+	candidates := []candidate{{worker: reserved, fitting: 3}, {worker: other, fitting: 4}}
+	placed := p.placeTasks(urgent, urgent.tasks, candidates)
+	is.Equal(len(placed), 1)
+	is.Equal(placed[0].worker, other)
+	placed = p.placeTasks(urgent, urgent.tasks, candidates[:1])
+	is.Equal(placed[0].worker, reserved) // rather than wait
+	options := p.adviceOptions(urgent, 4, now)
+	is.Equal(options[len(options)-1].worker, reserved)
+}
--- a/internal/dispatch/start_stop.go
+++ b/internal/dispatch/start_stop.go
@@ -40,33 +40,46 @@
 
 // maxStartAttempts is how often a start request is sent at most. Start requests
 // are idempotent: the worker starts the run once.
-const maxStartAttempts = 2
+const maxStartAttempts = 4
 
 // sendStart sends the start request until it gets a response or the attempts are
-// used up. A request without a response may still be executed, so the run is then
+// used up, which takes at most maxStartTime. A request without a response may still be executed, so the run is then
 // stopped.
 func (p *pool) sendStart(r *run, checkpoint string) {
-	for attempt := 1; p.d.orderSlots.acquire(p.d.ctx); attempt++ {
-		finished := p.attemptStart(r, checkpoint, attempt)
-		p.d.orderSlots.release()
-		if finished {
-			return
+	completed := p.d.contain("a start request", r.name, func() {
+		for attempt := 1; p.attemptStart(r, checkpoint, attempt); attempt++ {
 		}
+	})
+	if !completed {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.stopRun(r, "its start could not be handled")
 	}
 }
 
-// attemptStart sends the start request once. It reports whether no further attempt is
-// needed.
-func (p *pool) attemptStart(r *run, checkpoint string, attempt int) bool {
+// attemptStart sends the start request once there is a slot for it. It reports whether
+// another attempt is needed.
+func (p *pool) attemptStart(r *run, checkpoint string, attempt int) (again bool) {
+	if !p.d.orderSlots.acquire(p.d.ctx) {
+		return false
+	}
+	defer p.d.orderSlots.release()
 	req, ok := p.startRequest(r, checkpoint)
 	if !ok {
-		return true
+		return false
 	}
-	ctx, cancel := context.WithTimeout(p.d.ctx, startTimeout)
+	ctx, cancel := context.WithTimeout(p.d.ctx, p.attemptTimeout())
 	defer cancel()
 	sentAt := time.Now()
 	resp, err := p.d.WorkerClient.Start(ctx, r.worker.record, req)
-	return p.handleStartResult(r, resp, err, sentAt, attempt)
+	return !p.handleStartResult(r, resp, err, sentAt, attempt)
+}
+
+// attemptTimeout returns how long one attempt of a start or stop request may take.
+func (p *pool) attemptTimeout() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.responseTimer.timeout()
 }
 
 // startRequest returns the start request of a run and records the lease that it
@@ -117,6 +130,9 @@
 	if err == nil && resp.Refusal == Accepted {
 		w.observeClock(resp.ClockMs, now)
 		w.failedCalls = 0
+		if attempt == 1 {
+			p.responseTimer.observe(now.Sub(sentAt))
+		}
 		if r.phase == phaseStarting {
 			r.phase, r.confirmedAt = phaseActive, now
 			p.d.counters.startsConfirmed.Inc(1)
@@ -139,7 +155,7 @@
 	case errors.Is(err, ErrNotSent) && attempt == 1:
 		p.discardUnstartedRun(r, "no connection in time", idlePassInterval)
 		return true
-	case err != nil && attempt < maxStartAttempts:
+	case err != nil && attempt < maxStartAttempts && now.Sub(r.startSent) < maxStartTime:
 		r.reason = "start unanswered"
 		return false
 	case err != nil:
@@ -223,28 +239,37 @@
 // worker refuses to start the run, so if a later report does not list the run, it
 // is certain that it does not run.
 func (p *pool) sendStop(r *run) {
-	req := StopRequest{Task: r.name, Run: r.number, Token: p.d.term}
-	for p.d.orderSlots.acquire(p.d.ctx) {
-		ctx, cancel := context.WithTimeout(p.d.ctx, stopTimeout)
-		resp, err := p.d.WorkerClient.Stop(ctx, r.worker.record, req)
-		cancel()
-		p.d.orderSlots.release()
-		p.mu.Lock()
-		if r.worker.runs[r.key()] != r {
-			p.mu.Unlock()
-			return
-		}
-		if errors.Is(err, ErrOtherIncarnation) {
-			p.removeWorker(r.worker, "another incarnation answered a stop request")
-		}
-		if err == nil && resp.Refusal == Accepted {
-			r.stopConfirmed, r.confirmedAt = true, time.Now()
-			p.mu.Unlock()
-			return
-		}
-		p.mu.Unlock()
-		if sleep(p.d.ctx, stopRetryInterval) != nil {
+	for confirmed := false; !confirmed; {
+		p.d.contain("a stop request", r.name, func() { confirmed = p.attemptStop(r) })
+		if !confirmed && sleep(p.d.ctx, stopRetryInterval) != nil {
 			return
 		}
 	}
 }
+
+// attemptStop sends the stop request once there is a slot for it. It reports whether no
+// further attempt is needed.
+func (p *pool) attemptStop(r *run) (finished bool) {
+	if !p.d.orderSlots.acquire(p.d.ctx) {
+		return true
+	}
+	defer p.d.orderSlots.release()
+	ctx, cancel := context.WithTimeout(p.d.ctx, p.attemptTimeout())
+	defer cancel()
+	req := StopRequest{Task: r.name, Run: r.number, Token: p.d.term}
+	resp, err := p.d.WorkerClient.Stop(ctx, r.worker.record, req)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r.worker.runs[r.key()] != r {
+		return true
+	}
+	if errors.Is(err, ErrOtherIncarnation) {
+		p.removeWorker(r.worker, "another incarnation answered a stop request")
+		return true
+	}
+	if err == nil && resp.Refusal == Accepted {
+		r.stopConfirmed, r.confirmedAt = true, time.Now()
+		return true
+	}
+	return false
+}
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -12,6 +12,8 @@
 	checkpoint string
 	failedOn   map[string]bool // ids of workers on which it failed
 	notBefore  time.Time       // earliest next start
+	// preemptions is how often a run of the task was stopped for another unit.
+	preemptions int
 	// mayBeRunning is set while the previous leader may have started the task on
 	// a worker that has not reported to this leader yet.
 	mayBeRunning bool
--- a/internal/dispatch/unit.go
+++ b/internal/dispatch/unit.go
@@ -23,6 +23,8 @@
 	rank            rank         // in the current pass
 	waitingSince    time.Time    // since when no task could be started; zero: not waiting
 	waitLoggedAt    time.Time
+	suspendedUntil  time.Time     // not placed until then, after a panic
+	preemptedAt     time.Time     // when runs of other units were last stopped for this one
 	remainingPath   time.Duration // estimated length of the critical path after this step
 }
 
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -82,6 +82,10 @@
 	return label == "" || slices.Contains(w.record.GetLabels(), label)
 }
 
+// isReservedForOther reports whether a waiting gang other than the unit has reserved the
+// worker.
+func (w *worker) isReservedForOther(u *unit) bool { return w.reservedFor != nil && w.reservedFor != u }
+
 // rack returns the worker's rack, which is its second label, or "".
 func (w *worker) rack() string {
 	labels := w.record.GetLabels()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -21,7 +21,9 @@
 	maxLeaderWait = time.Second
 	minLeaderWait = 80 * time.Millisecond
 	// leaderContactTimeout is the time without a response of a leader after which
-	// calls are refused without an attempt. Run continues to look for a leader.
+	// calls are refused without an attempt, and the entry is no longer ready for more
+	// callers: an election takes less, so the entry is probably cut off, while callers
+	// may be served by others. Run continues to look for a leader.
 	leaderContactTimeout = 1500 * time.Millisecond
 	// attemptTimeout bounds one attempt at one control process. It is short because
 	// calls are safe to retry.
@@ -35,9 +37,6 @@
 	joinInterval     = time.Second
 	// rejoinInterval replaces joinInterval after a Join call that failed.
 	rejoinInterval = 200 * time.Millisecond
-	// readyExpiry is the time without a response of a leader after which the entry
-	// is no longer ready for more callers.
-	readyExpiry = 3 * time.Second
 )
 
 // Config holds the dependencies and settings of an Intake.
@@ -218,7 +217,7 @@
 
 // Ready reports whether more callers should be routed to this entry.
 func (in *Intake) Ready() bool {
-	return !in.draining.Load() && in.sinceLeaderContact() < readyExpiry
+	return !in.draining.Load() && in.sinceLeaderContact() < leaderContactTimeout
 }
 
 // BeginDrain makes the entry not ready. Calls are still served.
