--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -13,10 +13,10 @@
 	holdRetry = 100 * time.Millisecond // backoff after a failed Hold call
 	// minBusyHoldWait is the shortest long poll to a worker with runs; shorter ones would
 	// cost more than an answer that comes earlier is worth.
-	minBusyHoldWait = 400 * time.Millisecond
+	minBusyHoldWait = 700 * time.Millisecond
 	// holdSlack is how much longer than the expected end of a run a poll waits, so that
 	// most ends arrive within it.
-	holdSlack = 200 * time.Millisecond
+	holdSlack = 300 * time.Millisecond
 	// noListenerCallLimit is the number of consecutive calls that find no listener
 	// at the worker's address after which its incarnation is considered ended.
 	noListenerCallLimit = 2
@@ -69,7 +69,7 @@
 
 // holdTimeoutMargin returns how much longer than its long poll a Hold call may take.
 func (p *pool) holdTimeoutMargin() time.Duration {
-	return min(max(2*p.attemptTimeout(), minHoldTimeoutMargin), maxHoldTimeoutMargin)
+	return min(max(2*p.responseTimer.timeout(), minHoldTimeoutMargin), maxHoldTimeoutMargin)
 }
 
 // nextHoldRequest returns the next request for the worker and records the lease
--- a/internal/dispatch/retransmission.go
+++ b/internal/dispatch/retransmission.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
 const (
 	// minAttemptTimeout and maxAttemptTimeout bound the time after which a start or stop
@@ -20,9 +23,11 @@
 // Load pattern: workers that leave some requests unanswered, or answers that are lost. A
 // long timeout makes every such task late; a short fixed one doubles the load when workers
 // or the leader are slow.
+//
+// Only observe needs a lock of the caller.
 type retransmissionTimer struct {
 	smoothed, deviation time.Duration
-	observed            bool
+	current             atomic.Int64 // timeout, in ns; 0: nothing observed
 }
 
 // Weights of a new observation in the moving averages (RFC 6298).
@@ -34,18 +39,19 @@
 
 // observe records the response time of a request that was sent once.
 func (t *retransmissionTimer) observe(responseTime time.Duration) {
-	if !t.observed {
-		t.smoothed, t.deviation, t.observed = responseTime, responseTime/2, true
-		return
+	if t.current.Load() == 0 {
+		t.smoothed, t.deviation = responseTime, responseTime/2
+	} else {
+		t.deviation += ((t.smoothed - responseTime).Abs() - t.deviation) / deviationWeight
+		t.smoothed += (responseTime - t.smoothed) / responseTimeWeight
 	}
-	t.deviation += ((t.smoothed - responseTime).Abs() - t.deviation) / deviationWeight
-	t.smoothed += (responseTime - t.smoothed) / responseTimeWeight
+	t.current.Store(int64(min(max(t.smoothed+deviationFactor*t.deviation, minAttemptTimeout), maxAttemptTimeout)))
 }
 
 // timeout returns how long to wait for a response.
 func (t *retransmissionTimer) timeout() time.Duration {
-	if !t.observed {
-		return maxAttemptTimeout
+	if current := t.current.Load(); current != 0 {
+		return time.Duration(current)
 	}
-	return min(max(t.smoothed+deviationFactor*t.deviation, minAttemptTimeout), maxAttemptTimeout)
+	return maxAttemptTimeout
 }
--- a/internal/dispatch/start_stop.go
+++ b/internal/dispatch/start_stop.go
@@ -68,20 +68,13 @@
 	if !ok {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(p.d.ctx, p.attemptTimeout())
+	ctx, cancel := context.WithTimeout(p.d.ctx, p.responseTimer.timeout())
 	defer cancel()
 	sentAt := time.Now()
 	resp, err := p.d.WorkerClient.Start(ctx, r.worker.record, req)
 	return !p.handleStartResult(r, resp, err, sentAt, attempt)
 }
 
-// attemptTimeout returns how long one attempt of a start or stop request may take.
-func (p *pool) attemptTimeout() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.responseTimer.timeout()
-}
-
 // startRequest returns the start request of a run and records the lease that it
 // grants. It returns false if the run must not be started any more.
 func (p *pool) startRequest(r *run, checkpoint string) (StartRequest, bool) {
@@ -254,7 +247,7 @@
 		return true
 	}
 	defer p.d.orderSlots.release()
-	ctx, cancel := context.WithTimeout(p.d.ctx, p.attemptTimeout())
+	ctx, cancel := context.WithTimeout(p.d.ctx, p.responseTimer.timeout())
 	defer cancel()
 	req := StopRequest{Task: r.name, Run: r.number, Token: p.d.term}
 	resp, err := p.d.WorkerClient.Stop(ctx, r.worker.record, req)
