dispatch: a start that found no connection is tried again before its gang is given up

Change: such a start is tried again like one without an answer, and nothing else is placed there before the worker's next report; if none of the attempts was sent, the task moves without a stop.

--- a/internal/dispatch/fake_worker_test.go
+++ b/internal/dispatch/fake_worker_test.go
@@ -32,6 +32,7 @@
 	ackCursor    int64
 
 	noListener   bool           // calls fail with ErrNoListener
+	startsUnsent int            // number of start requests for which there is no connection
 	panics       bool           // the client panics in calls to this worker
 	silent       bool           // requests are neither executed nor answered
 	startsToLose int            // number of start requests that will get no response
@@ -96,6 +97,10 @@
 	if err := w.callError(); err != nil {
 		return Response{}, err
 	}
+	if w.startsUnsent > 0 {
+		w.startsUnsent--
+		return Response{}, ErrNotSent
+	}
 	if w.startsToLose > 0 {
 		w.startsToLose--
 		if !w.discardLost {
--- a/internal/dispatch/start_stop.go
+++ b/internal/dispatch/start_stop.go
@@ -43,8 +43,8 @@
 const maxStartAttempts = 4
 
 // sendStart sends the start request until it gets a response or the attempts are
-// used up, which takes at most maxStartTime. A request without a response may still be executed, so the run is then
-// stopped.
+// used up, which takes at most maxStartTime. A request without a response may still
+// be executed, so the run is then stopped.
 func (p *pool) sendStart(r *run, checkpoint string) {
 	completed := p.d.contain("a start request", r.name, func() {
 		for attempt := 1; p.attemptStart(r, checkpoint, attempt); attempt++ {
@@ -145,13 +145,21 @@
 		p.discardUnstartedRun(r, "nothing listens", idlePassInterval)
 		w.failedCalls++
 		return true
-	case errors.Is(err, ErrNotSent) && attempt == 1:
-		p.discardUnstartedRun(r, "no connection in time", idlePassInterval)
-		return true
+	case errors.Is(err, ErrNotSent):
+		// Nothing else is placed there before the worker's next report.
+		w.failedCalls = max(w.failedCalls, 1)
+		if attempt < maxStartAttempts && now.Sub(r.startSent) < maxStartTime {
+			return false
+		}
+		if r.reason == "" { // no attempt was sent
+			p.discardUnstartedRun(r, "no connection in time", idlePassInterval)
+			return true
+		}
 	case err != nil && attempt < maxStartAttempts && now.Sub(r.startSent) < maxStartTime:
 		r.reason = "start unanswered"
 		return false
-	case err != nil:
+	}
+	if err != nil {
 		p.d.counters.startsUnanswered.Inc(1)
 		p.d.Logger.Warn("start unanswered", logRun(r), "tries", attempt, "error", err)
 		p.stopRun(r, "start unanswered")
--- a/internal/dispatch/start_stop_test.go
+++ b/internal/dispatch/start_stop_test.go
@@ -163,3 +163,31 @@
 	c.eventually("the gang runs", func() bool { return len(w1.running()) == 1 && len(w2.running()) == 1 })
 	is.Equal(w1.running()[0].number, w2.running()[0].number)
 }
+
+// A start request that was certainly not sent is tried again, and its run is not stopped:
+// the other members of the gang go on.
+func TestGangStartsAlthoughAConnectionIsMissingForAMoment(t *testing.T) {
+	is := is.New(t)
+	w1, w2 := newFakeWorker("w1", 1000), newFakeWorker("w2", 1000)
+	w1.startsUnsent = 2
+	c := newTestCluster(t, w1, w2)
+	d, _ := c.startLeader()
+	c.submit("gang", newGangStep(2, 1000))
+	c.eventually("the gang runs", func() bool { return len(w1.running()) == 1 && len(w2.running()) == 1 })
+	is.Equal(w2.startCount(), 1)
+	is.Equal(d.counters.runsStopped.Count(), int64(0))
+}
+
+// If none of the attempts was sent, the run never existed: its task starts elsewhere, without
+// a stop.
+func TestTaskMovesAwayFromAWorkerWithoutConnections(t *testing.T) {
+	is := is.New(t)
+	w1 := newFakeWorker("w1", 1000)
+	w1.startsUnsent = maxStartAttempts
+	c := newTestCluster(t, w1)
+	d, _ := c.startLeader()
+	c.submit("job", stepOf(1, 1000))
+	c.eventually("the task runs", func() bool { return len(w1.running()) == 1 })
+	is.Equal(d.counters.startsRefused.Count(), int64(0))
+	is.Equal(d.counters.runsStopped.Count(), int64(0))
+}
