--- /dev/null
+++ b/internal/dispatch/report.go
@@ -0,0 +1,195 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+)
+
+// handleHoldResponse applies the response to a Hold request sent at sentAt. It
+// returns the ends that have to be committed, and false if the hold loop must end.
+func (p *pool) handleHoldResponse(w *worker, sentAt time.Time, resp HoldResponse) ([]EndedRun, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if p.workers[w.record.GetId()] != w {
+		return nil, false
+	}
+	if resp.Fenced {
+		p.d.Logger.Warn("worker has seen the fencing token of a later leader", "worker", w.record.GetId())
+		w.synced = false
+		return nil, true
+	}
+	if resp.BornUnixMs > w.record.GetBornUnixMs() && w.record.GetBornUnixMs() > 0 {
+		p.removeWorker(w, "a new incarnation of the worker answered")
+		return nil, false
+	}
+	w.observeClock(resp.ClockMs, now)
+	w.reportedAt, w.failedCalls = now, 0
+	var ends []EndedRun
+	listed := make(map[runKey]bool, len(resp.Active)+len(resp.Ended))
+	for _, end := range resp.Ended {
+		listed[runKey{end.Task, end.Run}] = true
+		if end.Sequence > w.ackCursor {
+			ends = append(ends, end)
+			p.freeEndedRun(w, end)
+		}
+	}
+	for _, active := range resp.Active {
+		key := runKey{active.Task, active.Run}
+		listed[key] = true
+		p.observeActiveRun(w, key, active, sentAt)
+	}
+	for key, r := range w.runs {
+		if !listed[key] && r.mustBeListedIn(sentAt) {
+			p.d.Logger.Info("run missing from the worker's report", logRun(r), "reason", r.reason)
+			p.discardRun(r)
+		}
+	}
+	if !w.synced {
+		w.synced = true
+		p.d.Logger.Info("worker synced", "worker", w.record.GetId(), "active", len(resp.Active), "ended", len(resp.Ended))
+		p.reconcileUnlessEnds(w, ends)
+	}
+	p.requestPass()
+	return ends, true
+}
+
+// reconcileUnlessEnds marks the worker as reconciled if its report lists no new
+// ends. Otherwise commitEnds does so once they are committed.
+func (p *pool) reconcileUnlessEnds(w *worker, ends []EndedRun) {
+	if len(ends) == 0 {
+		p.markReconciled(w.record.GetId())
+	}
+}
+
+// mustBeListedIn reports whether the response to a Hold request sent at sentAt
+// would list the run if it were active: the worker had confirmed its start or stop
+// before.
+func (r *run) mustBeListedIn(sentAt time.Time) bool {
+	switch r.phase {
+	case phaseActive:
+		return r.confirmedAt.Before(sentAt)
+	case phaseStopping:
+		return r.stopConfirmed && r.confirmedAt.Before(sentAt)
+	default:
+		return false
+	}
+}
+
+// freeEndedRun frees the resources of a run whose end is reported.
+func (p *pool) freeEndedRun(w *worker, end EndedRun) {
+	if r := w.runs[runKey{end.Task, end.Run}]; r != nil {
+		w.removeRun(r)
+	}
+}
+
+// observeActiveRun records that the worker reports a run as active, in response
+// to a Hold request sent at sentAt. It adopts a run that is not known.
+func (p *pool) observeActiveRun(w *worker, key runKey, active ActiveRun, sentAt time.Time) {
+	r := w.runs[key]
+	if r == nil {
+		r = p.adoptRun(w, key)
+	}
+	if r.phase == phaseStarting {
+		r.phase, r.confirmedAt = phaseActive, sentAt
+		p.d.counters.startsConfirmed.Inc(1)
+		p.d.Logger.Info("run started", logRun(r), "seen", "in the worker's report")
+	}
+	if r.task != nil && active.Checkpoint != "" {
+		r.task.saveCheckpoint(active.Checkpoint)
+	}
+}
+
+// saveCheckpoint stores the checkpoint from which the next run resumes. The
+// members of a gang share it. It is ignored if the step has no checkpoints.
+func (t *task) saveCheckpoint(checkpoint string) {
+	if !t.unit.spec.GetCheckpointing() {
+		return
+	}
+	if !t.unit.spec.GetGang() {
+		t.checkpoint = checkpoint
+		return
+	}
+	for _, member := range t.unit.tasks {
+		member.checkpoint = checkpoint
+	}
+}
+
+// adoptRun adds a run that this leader has not started. The run continues if its
+// task is known, not done and has no other run; otherwise it is stopped.
+func (p *pool) adoptRun(w *worker, key runKey) *run {
+	r := &run{name: key.name, number: key.number, worker: w, phase: phaseActive, confirmedAt: time.Now()}
+	w.runs[key] = r
+	t := p.findTask(key.name)
+	if t != nil {
+		t.unit.observeRunNumber(key.number)
+		r.size = t.unit.size
+		w.free.subtract(r.size)
+		if t.run == nil && !t.done {
+			r.task, t.run = t, r
+			t.mayBeRunning = false
+			t.unit.job.started = true
+			p.d.Table.MarkStarted(t.unit.job.id)
+			p.d.Logger.Info("run adopted", logRun(r))
+			return r
+		}
+	} else {
+		r.orphaned = true
+		w.orphaned++
+	}
+	p.stopRun(r, "its task is unknown, done or has another run")
+	return r
+}
+
+// findTask returns the task of that name, or nil if it is malformed or unknown.
+func (p *pool) findTask(text string) *task {
+	name, ok := parseTaskName(text)
+	if !ok {
+		return nil
+	}
+	j := p.jobs[name.job]
+	if j == nil {
+		return nil
+	}
+	position := name.occurrence*len(j.spec.GetSteps()) + name.step
+	if name.step >= len(j.spec.GetSteps()) || position >= len(j.units) || name.index >= len(j.units[position].tasks) {
+		return nil
+	}
+	return j.units[position].tasks[name.index]
+}
+
+// commitEnds commits the ends, so that the worker may forget them, and then
+// applies them. It reports whether they were committed.
+func (p *pool) commitEnds(ctx context.Context, w *worker, ends []EndedRun) bool {
+	command := &apiv1.JobsCommand{}
+	lastSequence := int64(0)
+	for _, end := range ends {
+		lastSequence = max(lastSequence, end.Sequence)
+		name, ok := parseTaskName(end.Task)
+		if !ok {
+			p.d.Logger.Error("worker reported a run with a malformed task name", "worker", w.record.GetId(), "task", end.Task)
+			continue
+		}
+		command.Ends = append(command.Ends, &apiv1.RunEnd{
+			Job: name.job, Occurrence: int32(name.occurrence), Step: int32(name.step), Index: int32(name.index),
+			Run: end.Run, Outcome: end.Outcome, Checkpoint: end.Checkpoint,
+		})
+	}
+	if err := p.d.ends.commit(ctx, command.GetEnds()); err != nil {
+		if ctx.Err() == nil {
+			p.d.Logger.Warn("ends of runs not committed", "worker", w.record.GetId(), "ends", len(ends), "error", err)
+		}
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w.ackCursor = max(w.ackCursor, lastSequence)
+	for _, end := range ends {
+		p.applyEnd(w, end)
+	}
+	p.markReconciled(w.record.GetId())
+	p.requestPass()
+	return true
+}
