review: case 1, the core is lost for good when its machines are replaced in turn

Cause: a lost voter is replaced only after catch_up_s without contact, in steps of about a second, while its successor counts as there by then.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 type play func(c *cell, trouble bool) (broken []string, err error)
 
 var cases = map[string]play{
+	"replaced":   playReplaced,
 	"resets":     playResets,
 	"ends":       playEnds,
 	"lasting":    playLasting,
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -439,7 +439,7 @@
 		wait := heartbeat
 		if !cutOff {
 			if address == "" {
-				address = l.m.c.at(l.m.c.vmIP(next%vms), controlPort)
+				address = l.m.c.at(l.m.c.knownIP(next), controlPort)
 			}
 			status, answer, err := l.m.c.call(http.MethodPut, address, "/api/instances/"+l.id, "", report)
 			var decoded struct {
