--- a/review/standin/cell.go
+++ b/review/standin/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -99,7 +100,7 @@
 func (c *cell) portsAreFree() bool {
 	for i := range vms + spares {
 		for _, offset := range []int{0, 1, frontendPort, readyPort, controlPort} {
-			l, err := net.Listen("tcp", c.at(c.vmIP(i), offset))
+			l, err := listenAt(c.at(c.vmIP(i), offset))
 			if err != nil {
 				return false
 			}
@@ -233,7 +234,7 @@
 // kernel would refuse connections to its address at once.
 func (c *cell) goDark(lost int) error {
 	for _, offset := range []int{0, 1, frontendPort, readyPort, controlPort} {
-		listener, err := net.Listen("tcp", c.at(c.vmIP(lost), offset))
+		listener, err := listenAt(c.at(c.vmIP(lost), offset))
 		if err != nil {
 			return err
 		}
@@ -257,6 +258,10 @@
 	return nil
 }
 
+func listenAt(address string) (net.Listener, error) {
+	return (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+}
+
 func without(vms []int, gone int) []int {
 	var rest []int
 	for _, i := range vms {
@@ -276,7 +281,7 @@
 	if err != nil {
 		return err
 	}
-	command := exec.Command(filepath.Join(p.c.root, "target", "pistachiod"), "platform")
+	command := exec.CommandContext(context.Background(), filepath.Join(p.c.root, "target", "pistachiod"), "platform")
 	command.Dir = p.c.root
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "PISTACHIOPORT_SETTINGS=" + path}
 	command.Stdout, command.Stderr = log, log
@@ -347,7 +352,7 @@
 	}
 	target := "http://" + address + path
 	for range 3 {
-		request, err := http.NewRequest(method, target, bytes.NewReader(encoded))
+		request, err := http.NewRequestWithContext(context.Background(), method, target, bytes.NewReader(encoded))
 		if err != nil {
 			return 0, nil, err
 		}
@@ -417,7 +422,7 @@
 func (c *cell) leader() *process {
 	for range 20 {
 		for i := range vms {
-			request, _ := http.NewRequest(http.MethodGet, "http://"+c.at(c.knownIP(i), controlPort)+"/api/config", nil)
+			request, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+c.at(c.knownIP(i), controlPort)+"/api/config", nil)
 			response, err := c.client.Do(request)
 			if err != nil {
 				continue
