control: a lost VM of the core is replaced within catch_up_s

Cause: a replacement had no budget. The voter was given up after the whole of catch_up_s; each of the three checks that a replacement takes waited 1 s for the VM that is gone to identify itself; the successor registered after 1 s, at an address that was lost too, and again after 3 s.

Change: DeadAfter is a quarter of catch_up_s; a check waits once, for 0.3 s, for a process that does not identify itself; after a removal the vacancy is filled without waiting for the next check; a spare registers at once, goes on to the next address after 0.2 s, learns the members' addresses and needs no dispatcher that has taken over. Related: a voter that was replaced while it was out of reach registers as a spare once it has known no leader for a second; its own log can't tell it.

Tests, failing before: TestCoreSurvivesVMsReplacedInTurn/leaders and /the_whole_first_core ("waited 1m0s for a publication after the last loss"), TestSpareRegistersWhileAVoterIsLost ("condition not met within 30s: the spare becomes a learner").

--- a/internal/control/bootstrap.go
+++ b/internal/control/bootstrap.go
@@ -6,11 +6,15 @@
 	"time"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/rpc"
 )
 
 const (
 	formRetryInterval         = 150 * time.Millisecond // between two attempts to form the cluster
 	spareRegistrationInterval = time.Second            // between two registrations with the leader
+	spareRetryInterval        = 200 * time.Millisecond // after a registration that failed
+	spareRegistrationTimeout  = 2 * time.Second
+	spareAttemptTimeout       = 200 * time.Millisecond // of one address, before others are asked as well
 )
 
 // FormFromSeeds forms a cluster of the control processes at the seeds' addresses,
@@ -61,23 +65,42 @@
 
 // RegisterAsSpare registers this process with the leader as a spare, which can become
 // a voter. It repeats that every spareRegistrationInterval while the process is no
-// voter, until ctx ends.
-func (s *Server) RegisterAsSpare(ctx context.Context, leader apiv1.Jobs, failureDomain string) {
-	for sleep(ctx, spareRegistrationInterval) {
-		if s.isVoter() {
-			continue
+// voter, until ctx ends. A voter that knows no leader registers as well: if it was
+// replaced while it could not be reached, only the others know. The client learns the
+// addresses of the members, so that it still reaches them once those that it was
+// configured with are gone.
+func (s *Server) RegisterAsSpare(ctx context.Context, client *rpc.Client, failureDomain string) {
+	hadLeader := true // at the previous check; an election is shorter than the time between two
+	for {
+		hasLeader, wait := s.Log.Status().Leader != 0, spareRegistrationInterval
+		if !s.isVoter() || !hasLeader && !hadLeader {
+			if err := s.registerAsSpare(ctx, client, failureDomain); err != nil {
+				s.Logger.Info("spare registration failed", "error", err)
+				wait = spareRetryInterval
+			}
 		}
-		call, cancel := context.WithTimeout(ctx, spareRegistrationInterval)
-		_, err := leader.Join(call, &apiv1.JoinRequest{
-			Name: s.Name, Address: s.Address, FailureDomain: failureDomain, Control: true,
-		})
-		cancel()
-		if err != nil {
-			s.Logger.Info("spare registration failed", "error", err)
+		hadLeader = hasLeader
+		if !sleep(ctx, wait) {
+			return
 		}
 	}
 }
 
+// registerAsSpare makes one attempt to register. Addresses that don't answer are left
+// for others long before it ends, since some belong to VMs that are gone.
+func (s *Server) registerAsSpare(ctx context.Context, client *rpc.Client, failureDomain string) error {
+	ctx, cancel := context.WithTimeout(rpc.WithAttemptTimeout(ctx, spareAttemptTimeout), spareRegistrationTimeout)
+	defer cancel()
+	response, err := client.Jobs().Join(ctx, &apiv1.JoinRequest{
+		Name: s.Name, Address: s.Address, FailureDomain: failureDomain, Control: true,
+	})
+	if err != nil {
+		return err
+	}
+	client.SetAddresses(response.GetControlAddresses())
+	return nil
+}
+
 // isVoter reports whether this process's incarnation is a voter.
 func (s *Server) isVoter() bool {
 	status := s.Log.Status()
--- a/internal/control/jobs_service.go
+++ b/internal/control/jobs_service.go
@@ -132,15 +132,19 @@
 // Join registers a control process as a spare, or an entry with the dispatcher, and
 // returns the addresses of the control processes that are members.
 func (s jobsService) Join(ctx context.Context, request *apiv1.JoinRequest) (*apiv1.JoinResponse, error) {
-	l, err := s.dispatchLeadership()
-	if err != nil {
-		return nil, err
-	}
 	if request.GetControl() {
+		// A lost voter is replaced also before the dispatcher has taken over.
+		if _, err := s.currentLeadership(); err != nil {
+			return nil, err
+		}
 		s.spares.register(Peer{
 			Name: request.GetName(), Address: request.GetAddress(), FailureDomain: request.GetFailureDomain(),
 		}, time.Now())
 	} else {
+		l, err := s.dispatchLeadership()
+		if err != nil {
+			return nil, err
+		}
 		l.dispatch.EntryJoined(request.GetAddress())
 	}
 	membership := s.Log.Status().Membership
--- a/internal/control/repair_driver.go
+++ b/internal/control/repair_driver.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log/slog"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,11 +23,11 @@
 )
 
 // repairMembership periodically checks the membership and replaces lost voters, one
-// step at a time. Between two steps it keeps no state but the replicated membership. The
-// interval between two checks includes the time that a check takes, or else processes that
-// don't answer would double it.
+// step at a time. Between two steps it keeps no state but the replicated membership, and
+// which processes don't identify themselves. The interval between two checks includes the
+// time that a check takes, or else processes that don't answer would double it.
 func (l *leadership) repairMembership(ctx context.Context) error {
-	var logged time.Time
+	checks := &membershipChecks{leadership: l}
 	ticker := time.NewTicker(l.server.RepairInterval)
 	defer ticker.Stop()
 	for {
@@ -37,28 +36,44 @@
 			return nil
 		case <-ticker.C:
 		}
-		status := l.server.Log.Status()
-		if !l.server.needsRepair(status) {
-			continue
-		}
-		view := l.server.repairView(ctx, status)
-		action := repair.Next(view)
-		switch {
-		case !l.isCurrent():
-			current := l.server.Log.Status()
-			l.server.Logger.Info("membership repair skipped by an ended leadership", "term", l.term,
-				"current_term", current.Term, "leads", current.IsLeader)
-		case action.Kind == repair.None:
-			if time.Since(logged) >= repairLogInterval {
-				logged = time.Now()
-				l.server.logRepairWait(view, nil)
-			}
-		default:
-			l.server.changeMembership(ctx, action, view)
+		// After a removal, the next loss may leave no majority until the vacancy is filled.
+		for checks.next(ctx) == repair.RemoveMember {
 		}
 	}
 }
 
+// membershipChecks is what the checks of one leadership remember.
+type membershipChecks struct {
+	*leadership
+	probes identityProbes
+	logged time.Time // when a check last logged what the repair waits for
+}
+
+// next checks the membership once, and returns the kind of the change that it made.
+func (c *membershipChecks) next(ctx context.Context) repair.Kind {
+	status := c.server.Log.Status()
+	if !c.server.needsRepair(status) {
+		c.probes.reset()
+		return repair.None
+	}
+	view := c.server.repairView(ctx, status, &c.probes)
+	action := repair.Next(view)
+	if !c.isCurrent() {
+		current := c.server.Log.Status()
+		c.server.Logger.Info("membership repair skipped by an ended leadership", "term", c.term,
+			"current_term", current.Term, "leads", current.IsLeader)
+		return repair.None
+	}
+	if action.Kind != repair.None {
+		return c.server.changeMembership(ctx, action, view)
+	}
+	if time.Since(c.logged) >= repairLogInterval {
+		c.logged = time.Now()
+		c.server.logRepairWait(view, nil)
+	}
+	return repair.None
+}
+
 // logRepairWait logs what a repair waits for: the voters without recent contact, the
 // processes that don't answer, and the learners that are behind. err is the error of the
 // change that is not possible yet; nil if none was tried.
@@ -114,15 +129,16 @@
 	return false
 }
 
-func (s *Server) repairView(ctx context.Context, status replica.Status) repair.View {
-	view := repair.View{
+func (s *Server) repairView(ctx context.Context, status replica.Status, probes *identityProbes) repair.View {
+	peers := s.peersToIdentify(status)
+	probes.identify(ctx, s.peers, peers)
+	return repair.View{
 		ClusterID: status.ClusterID,
 		Voters:    repairMembers(status, status.Membership.GetVoters()),
 		Learners:  repairMembers(status, status.Membership.GetLearners()),
-		Peers:     s.identifyPeers(ctx, status),
+		Peers:     peers,
 		Policy:    s.RepairPolicy,
 	}
-	return view
 }
 
 func repairMembers(status replica.Status, infos []*apiv1.MemberInfo) []repair.Member {
@@ -139,22 +155,6 @@
 	return members
 }
 
-// identifyPeers identifies, in parallel, all processes of peersToIdentify.
-func (s *Server) identifyPeers(ctx context.Context, status replica.Status) []repair.Peer {
-	peers := s.peersToIdentify(status)
-	var calls sync.WaitGroup
-	for i := range peers {
-		calls.Go(func() {
-			identity, err := s.peers.identify(ctx, peers[i].Address)
-			if err == nil {
-				peers[i].Identity = identity
-			}
-		})
-	}
-	calls.Wait()
-	return peers
-}
-
 // peersToIdentify returns the configured processes, the registered spares and the
 // members, each name once, without this process and the members with recent contact: who
 // they are is known, and a busy one would delay the repair.
@@ -215,20 +215,21 @@
 	return known
 }
 
-// changeMembership performs one step and records it in the audit trail. A change
-// that is not possible yet is tried again with the next check.
-func (s *Server) changeMembership(ctx context.Context, action repair.Action, view repair.View) {
+// changeMembership performs one step and records it in the audit trail. It returns the
+// kind of the change if it was made. A change that is not possible yet is tried again with
+// the next check.
+func (s *Server) changeMembership(ctx context.Context, action repair.Action, view repair.View) repair.Kind {
 	ctx, cancel := context.WithTimeout(ctx, memberChangeTimeout)
 	defer cancel()
 	member := action.Member
 	err := s.applyMembershipChange(ctx, action)
 	if errors.IsAny(err, replica.ErrChangeInProgress, replica.ErrNotCaughtUp, replica.ErrNotLeader) {
 		s.logRepairWait(view, err)
-		return
+		return repair.None
 	}
-	outcome, detail := state.OutcomeApplied, action.Reason
+	made, outcome, detail := action.Kind, state.OutcomeApplied, action.Reason
 	if err != nil {
-		outcome, detail = state.OutcomeFailed, err.Error()
+		made, outcome, detail = repair.None, state.OutcomeFailed, err.Error()
 	}
 	s.Logger.Info("membership change attempted", "change", action.Kind.String(), "member", member.GetName(),
 		"incarnation", member.GetIncarnation(), "outcome", outcome, "detail", detail)
@@ -243,6 +244,7 @@
 	if err != nil {
 		s.Logger.Warn("audit record of a membership change not written", "error", err)
 	}
+	return made
 }
 
 func (s *Server) applyMembershipChange(ctx context.Context, action repair.Action) error {
--- a/internal/daemon/platform_control.go
+++ b/internal/daemon/platform_control.go
@@ -38,6 +38,12 @@
 // enough.
 const replaceLostDiskAfter = 2 * electionTimeout
 
+// deadAfterDivisor sets after which part of the time for a successor to catch up a lost
+// voter is given up: all steps of its replacement must fit in that time. The rest is for
+// an election, which starts the count anew, for the successor's log and for the changes
+// of the membership. A voter that was only out of reach becomes a spare.
+const deadAfterDivisor = 4
+
 // newPlatformControl builds a control process on the users' platform.
 func newPlatformControl(p *platformProcess) (*controlSupervisor, error) {
 	return newControlSupervisor(&controlSupervisor{
@@ -79,7 +85,7 @@
 	server, err := control.New(control.Config{
 		Log: log, Store: store, Clock: system, Logger: p.logger, Metrics: p.registry,
 		Name: p.settings.Name, Address: address,
-		RepairPolicy: repair.Policy{UnreachableAfter: replaceLostDiskAfter, DeadAfter: platform.Seconds(bounds.CatchUpSeconds), TargetVoters: p.settings.VoterCount()},
+		RepairPolicy: repair.Policy{UnreachableAfter: replaceLostDiskAfter, DeadAfter: platform.Seconds(bounds.CatchUpSeconds) / deadAfterDivisor, TargetVoters: p.settings.VoterCount()},
 		Dispatch: &dispatch.Config{
 			Log: log, Table: jobTable, WorkerClient: p.client, Clock: system, Logger: p.logger, Metrics: p.registry,
 			Advisor:    intake.AdvisorClient{HTTP: advisorHTTPClient(p.connections.Advisors), Local: p.client},
@@ -143,7 +149,7 @@
 		},
 		func(ctx context.Context) {
 			defer client.Close()
-			server.RegisterAsSpare(ctx, client.Jobs(), p.settings.FailureDomain)
+			server.RegisterAsSpare(ctx, client, p.settings.FailureDomain)
 		},
 	}
 }
--- a/test/failure/soak_cell_test.go
+++ b/test/failure/soak_cell_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -52,7 +53,9 @@
 	// not in touch.
 	excusedOverruns atomic.Int64
 
+	seeds   []int // indexes of the control processes that new settings files name
 	control []*soakProcess
+	lostVMs []*soakProcess // control processes whose VMs were taken away for good
 	entries []*soakProcess
 	workers []*soakWorker
 }
@@ -75,6 +78,7 @@
 		addressOctet: 1 + int(uint64(seed)%200),
 	}
 	for i := range soakControlCount {
+		c.seeds = append(c.seeds, i)
 		c.control = append(c.control, c.newProcess("control", i))
 	}
 	for i := range soakEntryCount {
@@ -108,13 +112,13 @@
 
 // daemons returns the control processes and the entries.
 func (c *soakCell) daemons() []*soakProcess {
-	return append(append([]*soakProcess(nil), c.control...), c.entries...)
+	return slices.Concat(c.control, c.entries)
 }
 
 // stop kills the daemons, closes their relays and, if the test failed, shows their
 // logs.
 func (c *soakCell) stop() {
-	for _, p := range c.daemons() {
+	for _, p := range slices.Concat(c.lostVMs, c.daemons()) {
 		p.killAndWait()
 		p.link.Close()
 		if c.t.Failed() {
@@ -152,7 +156,7 @@
 // settings returns a process's settings file as the platform writes it.
 func (c *soakCell) settings(p *soakProcess, role string, bootstrap bool) string {
 	var seeds []string
-	for i := range soakControlCount {
+	for _, i := range c.seeds {
 		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("127.%d.1.%d:%d", c.addressOctet, i+1, soakFirstPort+12)))
 	}
 	serves, dataDir := `"edge"`, ""
