dispatch: a refused connection is no proof that a worker has ended

Cause: handleHoldError took two calls that found no listener as the end of the incarnation and removed the worker without waiting for its lease. A reset on the way gives the same error.

Evidence: the reason in "worker lost" was "nothing listens at its address" each time, with runs under leases that had 4 s to go. Ruled out: a 421 of another worker, and leases that are counted wrongly.

Change: runs end with their lease or with another incarnation. Refused connections remain evidence of a probable crash: it decides which queues are contained and how many trial workers there are, and counts nothing under a task.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -10,7 +10,7 @@
 
 const (
 	lossSilent lossCause = iota // it does not answer; its leases have expired
-	lossEnded                   // its incarnation has ended: nothing listens, or another one does
+	lossEnded                   // its incarnation has ended: another one answers or reports
 )
 
 const (
--- a/internal/dispatch/crash_record.go
+++ b/internal/dispatch/crash_record.go
@@ -1,17 +1,21 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 )
 
-// recordCrash records a worker's crash under its runs, which are discarded already. Their tasks
+// recordCrash records a worker's crash at the time under its runs, which are discarded already. Their tasks
 // do not start again before the record is committed: a later leader must not lose count of the
 // workers that a task has crashed. The caller holds the lock.
-func (p *pool) recordCrash(w *worker, c crash, now time.Time) {
+func (p *pool) recordCrash(w *worker, c crash, at time.Time) {
 	p.d.counters.workersCrashed.Inc(1)
-	p.crashedWorkers.add(w.record, now)
+	isBack := func(other *worker) bool { return other.record.GetAddress() == w.record.GetAddress() }
+	if !slices.ContainsFunc(p.workerList, isBack) {
+		p.crashedWorkers.add(w.record, at)
+	}
 	p.d.Logger.Warn("worker crashed", "worker", w.record.GetId(), "runs", len(c.suspects), "attributed", c.attributed,
 		"youngest_ms", c.youngest.Milliseconds())
 	var records []crashRecord
@@ -21,7 +25,7 @@
 		}
 		r.task.crashUnrecorded = true
 		p.recordCrashAge(r, c)
-		records = append(records, newCrashRecord(r, c, now))
+		records = append(records, newCrashRecord(r, c, at))
 	}
 	if len(records) > 0 {
 		p.d.spawn(func() { p.commitCrash(records) })
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -15,8 +15,8 @@
 	// holdSlack is how much longer than the expected end of a run a poll waits, so that
 	// most ends arrive within it.
 	holdSlack = 300 * time.Millisecond
-	// noListenerCallLimit is the number of consecutive calls that find no listener
-	// at the worker's address after which its incarnation is considered ended.
+	// noListenerCallLimit is the number of consecutive calls that find no listener at the
+	// worker's address after which it has probably crashed. One that has never answered is removed.
 	noListenerCallLimit = 2
 )
 
@@ -122,6 +122,9 @@
 
 // handleHoldError handles a failed Hold call and reports whether to continue. It
 // removes the worker if its incarnation has ended or its leases have expired.
+//
+// That nothing listens at its address is no proof that the incarnation has ended: a link
+// that resets connections looks the same, and the worker runs on behind it under its lease.
 func (p *pool) handleHoldError(w *worker, err error) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -129,19 +132,18 @@
 	if w.synced && w.failedCalls == 0 {
 		p.d.Logger.Warn("worker does not answer", "worker", w.record.GetId(), "error", err, "runs", len(w.runs))
 	}
+	unheard := false // it has never answered this leader, and nothing listens at its address
 	switch {
 	case errors.Is(err, ErrOtherIncarnation):
 		p.removeWorker(w, lossEnded, "another incarnation answers at its address")
 		return false
 	case errors.Is(err, ErrNoListener):
-		if w.failedCalls++; w.failedCalls >= noListenerCallLimit {
-			p.removeWorker(w, lossEnded, "nothing listens at its address")
-			return false
-		}
+		p.handleRefusedConnection(w, now)
+		unheard = !w.synced && w.failedCalls >= noListenerCallLimit
 	default:
 		w.failedCalls = max(w.failedCalls, 1)
 	}
-	if now.After(w.leaseEnd.Add(leaseExpiryMargin)) && (w.synced || w.leaving || len(w.runs) > 0 || p.isUnreconciled(w)) {
+	if now.After(w.leaseEnd.Add(leaseExpiryMargin)) && (w.synced || unheard || w.leaving || len(w.runs) > 0 || p.isUnreconciled(w)) {
 		// Nothing can be running there, and no request of this term can start
 		// anything. The worker is added again when it reports.
 		p.removeWorker(w, lossSilent, "its leases expired")
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -33,9 +33,10 @@
 	// started runs that are not known yet, with the time when their leases expire.
 	unreconciled map[string]time.Time
 	// containments holds the queues whose tasks have crashed workers, by name.
-	containments   map[string]*containment
-	crashedWorkers crashedWorkers
-	silentLosses   silentLosses
+	containments    map[string]*containment
+	crashedWorkers  crashedWorkers
+	silentLosses    silentLosses
+	probableCrashes probableCrashes
 	// harmlessWaitedAt is when a unit that needs no trial last waited for long.
 	harmlessWaitedAt time.Time
 }
@@ -216,7 +217,8 @@
 // its runs. If it has crashed, that is recorded of their tasks. The caller holds the lock.
 func (p *pool) removeWorker(w *worker, cause lossCause, reason string) {
 	now := time.Now()
-	crashed := p.crashUnder(w, now)
+	ended := w.endedBy(now)
+	crashed := p.crashUnder(w, ended)
 	p.d.Logger.Warn("worker lost", "worker", w.record.GetId(), "service", p.service, "reason", reason,
 		"runs", len(w.runs), "heard_ms_ago", time.Since(w.reportedAt).Milliseconds())
 	p.d.counters.workersLost.Inc(1)
@@ -236,7 +238,7 @@
 	}
 	switch {
 	case w.crashed(cause):
-		p.recordCrash(w, crashed, now)
+		p.recordCrash(w, crashed, ended)
 	case cause == lossSilent:
 		p.silentLosses.add(w.record, crashed, now)
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -26,7 +26,8 @@
 		return nil, false
 	}
 	w.observeClock(resp.ClockMs, now)
-	w.reportedAt, w.heardAt, w.failedCalls = now, now, 0
+	w.reportedAt = now
+	w.observeResponse(now)
 	var ends []EndedRun
 	listed := make(map[runKey]bool, len(resp.Active)+len(resp.Ended))
 	for _, end := range resp.Ended {
--- a/internal/dispatch/start_stop.go
+++ b/internal/dispatch/start_stop.go
@@ -143,7 +143,7 @@
 	}
 	if err == nil && resp.Refusal == Accepted {
 		w.observeClock(resp.ClockMs, now)
-		w.heardAt, w.failedCalls = now, 0
+		w.observeResponse(now)
 		if attempt == 1 {
 			p.responseTimer.observe(now.Sub(sentAt))
 		}
@@ -163,7 +163,7 @@
 		return true
 	case errors.Is(err, ErrNoListener) && attempt == 1:
 		p.discardUnstartedRun(r, "nothing listens", idlePassInterval)
-		w.failedCalls++
+		p.handleRefusedConnection(w, now)
 		return true
 	case errors.Is(err, ErrNotSent):
 		// Nothing else is placed there before the worker's next report.
--- a/internal/dispatch/trial_workers.go
+++ b/internal/dispatch/trial_workers.go
@@ -51,6 +51,7 @@
 	for _, c := range p.containments {
 		c.waiting, c.culprits, c.trialLimit = 0, 0, tw.limit
 	}
+	p.countProbableTrials()
 	for _, u := range waiting {
 		if !u.risk.onTrial() {
 			continue
@@ -84,15 +85,44 @@
 	}
 }
 
+// countProbableTrials counts, as waiting, the units whose tasks run on workers that have probably
+// crashed: they will need a trial, or a further one, once that is certain.
+func (p *pool) countProbableTrials() {
+	for _, w := range p.workerList {
+		if !w.suspected {
+			continue
+		}
+		counted := make(map[*unit]bool)
+		for _, r := range w.runs {
+			if r.task == nil || r.task.done || counted[r.task.unit] {
+				continue
+			}
+			u := r.task.unit
+			counted[u] = true
+			c := p.containments[u.job.queue.GetName()]
+			if u.risk.onTrial() || u.likelyCulprit() {
+				c.countWaiting(0, 1)
+			} else {
+				c.countWaiting(1, 0)
+			}
+		}
+	}
+}
+
 // newTrialWorkers counts what is on trial and computes the limits of a pass.
 func (p *pool) newTrialWorkers(waiting []*unit, now time.Time) *trialWorkers {
 	tw := &trialWorkers{p: p, now: now, gathering: make(map[*unit]bool)}
+	suspected := 0 // workers that have probably crashed
 	for _, w := range p.workerList {
 		for _, u := range w.trialClaims {
 			tw.gathering[u] = true
 		}
 		w.trialClaims = nil
-		if w.trial {
+		switch {
+		case w.suspected:
+			suspected++
+			continue
+		case w.trial:
 			tw.used++
 		}
 		if w.hasCulprit() {
@@ -101,8 +131,9 @@
 	}
 	p.d.counters.workersOnTrial.Update(int64(tw.used))
 	crashed := p.crashedWorkers.count(now)
-	tw.used += crashed
 	total := len(p.workerList) + crashed
+	crashed += suspected
+	tw.used += crashed
 	trialShare, culpritShare := busyTrialShare, maxCulpritShare
 	if p.quiet(waiting, now) {
 		trialShare, culpritShare = quietTrialShare, quietCulpritShare
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -32,6 +32,8 @@
 	leaseEnd    time.Time // when all leases granted by any leader have expired
 	reportedAt  time.Time // time of the last Hold response
 	heardAt     time.Time // time of the last response
+	refusedAt   time.Time // time of the first call since then that found no listener; zero: none
+	suspected   bool      // it has probably crashed since then
 	failedCalls int       // calls refused for lack of a listener since the last success; at least 1 after any failed Hold call
 	health      health
 	cancel      context.CancelFunc // ends the hold loop
@@ -82,6 +84,20 @@
 	}
 }
 
+// observeResponse records that the worker has responded to a call.
+func (w *worker) observeResponse(now time.Time) {
+	w.heardAt, w.refusedAt, w.suspected, w.failedCalls = now, time.Time{}, false, 0
+}
+
+// endedBy returns the time by which an incarnation that is known to have ended by now had
+// probably done so: when nothing listened at its address any more.
+func (w *worker) endedBy(now time.Time) time.Time {
+	if w.refusedAt.IsZero() {
+		return now
+	}
+	return w.refusedAt
+}
+
 // schedulable reports whether new tasks may be started on the worker.
 func (w *worker) schedulable(now time.Time) bool {
 	return w.synced && w.orphaned == 0 && !w.record.GetDraining() && !w.leaving && w.failedCalls == 0 && w.health.schedulable(now)
