dispatch: runs are missing only from a complete list of ends

Cause: a worker lists 500 ends at a time, and handleHoldResponse took each run that is neither active nor listed for lost.

Evidence: 300 lines "run missing from the worker's report" at the first response after the cut, no "worker lost". Ruled out: a lapsed lease, and an acknowledgement beyond what was listed.

Change: a response with 500 ends is partial. No run is missing from it, the next Hold does not wait, and a worker of the predecessor counts as reconciled only after a complete response. The last was the same fault by another way: a new leader started tasks whose ends were on a later page.

--- a/internal/dispatch/fake_worker_test.go
+++ b/internal/dispatch/fake_worker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -35,6 +36,7 @@
 
 	startTime    time.Duration  // how long a start request takes
 	stopsBlocked chan struct{}  // stop requests get no response until it is closed; nil: they do
+	endsPerPage  int            // ends that a response lists at most; 0: all
 	noListener   bool           // calls fail with ErrNoListener
 	startsUnsent int            // number of start requests for which there is no connection
 	panics       bool           // the client panics in calls to this worker
@@ -236,7 +238,10 @@
 	}
 	w.endExpiredRuns()
 	w.holds++
-	resp := HoldResponse{ClockMs: w.nowMs(), BornUnixMs: w.record.GetBornUnixMs(), Ended: append([]EndedRun(nil), w.ended...)}
+	resp := HoldResponse{ClockMs: w.nowMs(), BornUnixMs: w.record.GetBornUnixMs(), Ended: slices.Clone(w.ended)}
+	if w.endsPerPage > 0 && len(resp.Ended) >= w.endsPerPage {
+		resp.Ended, resp.Partial = resp.Ended[:w.endsPerPage], true
+	}
 	for key := range w.runs {
 		resp.Active = append(resp.Active, ActiveRun{Task: key.name, Run: key.number, Percent: 100})
 	}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -87,7 +87,7 @@
 			w.recordLeaseGranted(now, remaining)
 		}
 	}
-	if w.synced && !p.hasStoppingRun(w) && w.failedCalls == 0 {
+	if w.synced && !w.endsPending && !p.hasStoppingRun(w) && w.failedCalls == 0 {
 		req.WaitMs = p.holdWait(w, now).Milliseconds()
 	}
 	return req
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -42,25 +42,36 @@
 		listed[key] = true
 		p.observeActiveRun(w, key, active, sentAt)
 	}
-	for key, r := range w.runs {
-		if !listed[key] && r.mustBeListedIn(sentAt) {
-			p.d.Logger.Info("run missing from the worker's report", logRun(r), "reason", r.reason)
-			p.discardRun(r)
-		}
+	if w.endsPending = resp.Partial; !resp.Partial {
+		p.discardMissingRuns(w, listed, sentAt)
 	}
 	if !w.synced {
 		w.synced = true
-		p.d.Logger.Info("worker synced", "worker", w.record.GetId(), "active", len(resp.Active), "ended", len(resp.Ended))
-		p.reconcileUnlessEnds(w, ends)
+		p.d.Logger.Info("worker synced", "worker", w.record.GetId(), "active", len(resp.Active), "ended", len(resp.Ended),
+			"partial", resp.Partial)
+	}
+	if len(ends) == 0 { // otherwise commitEnds does so
+		p.reconcile(w)
 	}
 	p.requestPass()
 	return ends, true
 }
 
-// reconcileUnlessEnds marks the worker as reconciled if its report lists no new
-// ends. Otherwise commitEnds does so once they are committed.
-func (p *pool) reconcileUnlessEnds(w *worker, ends []EndedRun) {
-	if len(ends) == 0 {
+// discardMissingRuns discards the runs that a complete response to a Hold request sent at
+// sentAt would list, and does not.
+func (p *pool) discardMissingRuns(w *worker, listed map[runKey]bool, sentAt time.Time) {
+	for key, r := range w.runs {
+		if !listed[key] && r.mustBeListedIn(sentAt) {
+			p.d.Logger.Info("run missing from the worker's report", logRun(r), "reason", r.reason)
+			p.discardRun(r)
+		}
+	}
+}
+
+// reconcile marks the worker as reconciled if it has listed all of its runs and the ends
+// among them are committed.
+func (p *pool) reconcile(w *worker) {
+	if w.synced && !w.endsPending {
 		p.markReconciled(w.record.GetId())
 	}
 }
@@ -190,7 +201,7 @@
 	for _, end := range ends {
 		p.applyEnd(w, end)
 	}
-	p.markReconciled(w.record.GetId())
+	p.reconcile(w)
 	p.requestPass()
 	return true
 }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -26,6 +26,7 @@
 
 	// synced is set once the worker has reported its runs for this term's token.
 	synced      bool
+	endsPending bool  // its last report did not list all ends
 	ackCursor   int64 // sequence up to which ends are committed
 	clockMs     int64 // reading of the worker's clock, taken at clockAt or earlier
 	clockAt     time.Time
--- a/internal/dispatch/worker_client.go
+++ b/internal/dispatch/worker_client.go
@@ -83,7 +83,8 @@
 	BornUnixMs int64 // start time of the incarnation
 	Fenced     bool  // the worker has seen a higher fencing token; other fields are not set
 	Active     []ActiveRun
-	Ended      []EndedRun // not acknowledged yet
+	Ended      []EndedRun // not acknowledged yet, in the order of their sequences
+	Partial    bool       // more runs may have ended than Ended lists
 }
 
 // ActiveRun is a run that has not ended.
