dispatch: ends that a lost worker has listed are committed

What callers would see: a job that is never completed.

Cause: an end that is listed frees its run at once. If its commit fails, or its worker is removed during the commit, the hold loop ends, and nobody commits the end: its task keeps a run that no longer exists.

Change: ends that are listed and not committed yet are kept with the worker; when it is lost they are committed until that succeeds or the term ends. Starting the task again instead could carry out a task whose commit had taken effect.

Test, failing before: TestEndIsCommittedAlthoughItsWorkerIsLost/failed ("condition not met within 10s: the job is completed"); afterwards 10 times under the race detector.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -236,6 +236,9 @@
 			r.task.notBefore = latestOf(r.task.notBefore, now.Add(maxAttemptTimeout))
 		}
 	}
+	if ends := w.uncommitted; len(ends) > 0 {
+		p.d.spawn(func() { p.commitEndsOfLost(w, ends) })
+	}
 	switch {
 	case w.crashed(cause):
 		p.recordCrash(w, crashed, ended)
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -37,6 +37,7 @@
 			p.freeEndedRun(w, end)
 		}
 	}
+	w.uncommitted = ends
 	for _, active := range resp.Active {
 		key := runKey{active.Task, active.Run}
 		listed[key] = true
@@ -173,35 +174,64 @@
 }
 
 // commitEnds commits the ends, so that the worker may forget them, and then
-// applies them. It reports whether they were committed.
+// applies them. It reports whether they were committed. If not, the worker lists them again.
 func (p *pool) commitEnds(ctx context.Context, w *worker, ends []EndedRun) bool {
-	command := &apiv1.JobsCommand{}
-	lastSequence := int64(0)
+	command := p.encodeEnds(w, ends)
+	if err := p.d.ends.commit(ctx, command); err != nil {
+		if ctx.Err() == nil {
+			p.d.Logger.Warn("ends of runs not committed", "worker", w.id, "ends", len(ends), "error", err)
+		}
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.applyCommittedEnds(w, ends)
+	return true
+}
+
+// commitEndsOfLost commits the ends that a lost worker had listed. Nothing else would free their
+// tasks, as the runs are not among the worker's any more and no one lists the ends again. It repeats
+// that until it succeeds or the term ends.
+func (p *pool) commitEndsOfLost(w *worker, ends []EndedRun) {
+	command := p.encodeEnds(w, ends)
+	for p.d.ends.commit(p.d.ctx, command) != nil {
+		if sleep(p.d.ctx, holdRetry) != nil {
+			return
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(w.uncommitted) > 0 { // the worker's own loop had not committed them
+		p.applyCommittedEnds(w, ends)
+	}
+}
+
+// encodeEnds returns the ends as they are committed, without those of malformed task names.
+func (p *pool) encodeEnds(w *worker, ends []EndedRun) []*apiv1.RunEnd {
+	var encoded []*apiv1.RunEnd
 	for _, end := range ends {
-		lastSequence = max(lastSequence, end.Sequence)
 		name, ok := parseTaskName(end.Task)
 		if !ok {
 			p.d.Logger.Error("worker reported a run with a malformed task name", "worker", w.id, "task", end.Task)
 			continue
 		}
-		command.Ends = append(command.Ends, &apiv1.RunEnd{
+		encoded = append(encoded, &apiv1.RunEnd{
 			Job: name.job, Occurrence: int32(name.occurrence), Step: int32(name.step), Index: int32(name.index),
 			Run: end.Run, Outcome: end.Outcome, Checkpoint: end.Checkpoint,
 		})
 	}
-	if err := p.d.ends.commit(ctx, command.GetEnds()); err != nil {
-		if ctx.Err() == nil {
-			p.d.Logger.Warn("ends of runs not committed", "worker", w.id, "ends", len(ends), "error", err)
-		}
-		return false
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	w.ackCursor = max(w.ackCursor, lastSequence)
+	return encoded
+}
+
+// applyCommittedEnds applies committed ends. The caller holds the lock.
+func (p *pool) applyCommittedEnds(w *worker, ends []EndedRun) {
+	w.uncommitted = nil
 	for _, end := range ends {
+		w.ackCursor = max(w.ackCursor, end.Sequence)
 		p.applyEnd(w, end)
 	}
-	p.reconcile(w)
+	if !w.lost {
+		p.reconcile(w)
+	}
 	p.requestPass()
-	return true
 }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -26,9 +26,10 @@
 
 	// synced is set once the worker has reported its runs for this term's token.
 	synced      bool
-	endsPending bool  // its last report did not list all ends
-	ackCursor   int64 // sequence up to which ends are committed
-	clockMs     int64 // reading of the worker's clock, taken at clockAt or earlier
+	endsPending bool       // its last report did not list all ends
+	ackCursor   int64      // sequence up to which ends are committed
+	uncommitted []EndedRun // ends that its last report listed and that are not committed yet
+	clockMs     int64      // reading of the worker's clock, taken at clockAt or earlier
 	clockAt     time.Time
 	leaseEnd    time.Time // when all leases granted by any leader have expired
 	reportedAt  time.Time // time of the last Hold response
