dispatch: a response that is read late is not of a later incarnation

What callers would see: tasks that run twice after a pause of the leader.

Cause: a confirmed start counted as confirmed by a later incarnation if its reading of the worker's clock was more than 1 s below the newest known when it was read. A leader that was frozen may read the responses to its long polls first, whose readings are younger by up to a poll and more.

Change: the reading is compared with the one known when the request was sent. A response can't be older.

Test, failing before: TestLateResponseIsNotOfALaterIncarnation ("0 != 1" running, the worker was lost); afterwards 5 times, with the tests of later incarnations.

--- a/internal/dispatch/fake_worker_test.go
+++ b/internal/dispatch/fake_worker_test.go
@@ -35,6 +35,7 @@
 	ackCursor    int64
 
 	startTime    time.Duration  // how long a start request takes
+	answerTime   time.Duration  // from a start until its response arrives
 	stopsBlocked chan struct{}  // stop requests get no response until it is closed; nil: they do
 	endsPerPage  int            // ends that a response lists at most; 0: all
 	noListener   bool           // calls fail with ErrNoListener
@@ -106,6 +107,12 @@
 func (w *fakeWorker) start(req StartRequest) (Response, error) {
 	w.panicIfBroken()
 	time.Sleep(w.startTime)
+	resp, err := w.carryOutStart(req)
+	time.Sleep(w.answerTime)
+	return resp, err
+}
+
+func (w *fakeWorker) carryOutStart(req StartRequest) (Response, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.callError(); err != nil {
--- a/internal/dispatch/later_incarnation.go
+++ b/internal/dispatch/later_incarnation.go
@@ -2,16 +2,11 @@
 
 import "time"
 
-// clockRegression is how far a reading of a worker's clock may be behind an earlier one, since
-// responses on different connections overtake each other. The clock of an incarnation starts
-// at 0, so a larger regression shows a later one.
-const clockRegression = time.Second
-
-// isOfLaterIncarnation reports whether the reading is of a later incarnation's clock. The worker
-// may be reached under the id of the incarnation that has ended.
-func (w *worker) isOfLaterIncarnation(clockMs int64) bool {
-	return clockMs > 0 && clockMs+clockRegression.Milliseconds() < w.clockMs
-}
+// isOfLaterIncarnation reports whether a reading of the worker's clock is of a later incarnation,
+// whose clock starts anew at 0. before is the reading that was known when the request was sent: a
+// response to it can't be older, however late it is read. The worker may be reached under the id
+// of the incarnation that has ended.
+func isOfLaterIncarnation(clockMs, before int64) bool { return clockMs > 0 && clockMs < before }
 
 // handleStartInLaterIncarnation handles that a later incarnation of the worker has confirmed the
 // start of a run. The task is not started elsewhere before that incarnation has reported the run,
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -24,6 +24,7 @@
 	decidedAt     time.Time // when this leader decided on the start; zero: it adopted the run
 	startSent     time.Time
 	sent          bool      // a start request was sent, or the worker reported the run
+	clockBefore   int64     // reading of the worker's clock known when the latest start request was sent
 	risk          risk      // of its unit when it was started
 	confirmedAt   time.Time // when the worker confirmed the start, or the stop if stopConfirmed
 	stopConfirmed bool
--- a/internal/dispatch/start_stop.go
+++ b/internal/dispatch/start_stop.go
@@ -107,7 +107,7 @@
 		r.startSent = now
 	}
 	r.worker.recordLeaseGranted(now, remaining)
-	r.sent = true
+	r.sent, r.clockBefore = true, r.worker.clockMs
 	return StartRequest{
 		Task: r.name, Run: r.number, Payload: r.task.unit.job.spec.GetPayload(),
 		Deadline: leaseDeadline, Token: p.d.term, Checkpoint: checkpoint, Ticket: r.ticket,
@@ -134,7 +134,7 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	w := r.worker
-	if err == nil && resp.Refusal == Accepted && (w.lost || w.isOfLaterIncarnation(resp.ClockMs)) {
+	if err == nil && resp.Refusal == Accepted && (w.lost || isOfLaterIncarnation(resp.ClockMs, r.clockBefore)) {
 		p.handleStartInLaterIncarnation(r, now)
 		return true
 	}
