platform, dispatch: odd entries of other writers cost only themselves

Here, before: no list ended a process, but entries with impossible ports, hosts, ids and texts were recorded.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -132,14 +132,15 @@
 	if w.synced && w.failedCalls == 0 {
 		p.d.Logger.Warn("worker does not answer", "worker", w.record.GetId(), "error", err, "runs", len(w.runs))
 	}
-	unheard := false // it has never answered this leader, and nothing listens at its address
+	// A worker that has never answered this leader runs nothing of it. Its record may be of another writer.
+	unheard := !w.synced && now.Sub(w.addedAt) > p.d.Timing.MaxLease
 	switch {
 	case errors.Is(err, ErrOtherIncarnation):
 		p.removeWorker(w, lossEnded, "another incarnation answers at its address")
 		return false
 	case errors.Is(err, ErrNoListener):
 		p.handleRefusedConnection(w, now)
-		unheard = !w.synced && w.failedCalls >= noListenerCallLimit
+		unheard = unheard || (!w.synced && w.failedCalls >= noListenerCallLimit)
 	default:
 		w.failedCalls = max(w.failedCalls, 1)
 	}
--- a/internal/dispatch/report_order.go
+++ b/internal/dispatch/report_order.go
@@ -44,7 +44,7 @@
 // nil if there is none. A report that the worker drains or leaves is believed although a
 // newer one has arrived, as both hold for the rest of the incarnation.
 func (o *ReportOrder) Changes(current, reported *apiv1.PoolWorker, now time.Time) bool {
-	if current != nil && reported.GetBornUnixMs() == current.GetBornUnixMs() && reported.GetService() != current.GetService() {
+	if current != nil && reported.GetBornUnixMs() == current.GetBornUnixMs() && !sameProcess(reported, current) {
 		return false // not the worker's: its sequence means nothing
 	}
 	superseded := o.observe(reported, now)
@@ -54,6 +54,13 @@
 	return current == nil || RecordChanged(current, reported)
 }
 
+// sameProcess reports whether two records of one incarnation may be of the same process: it has one
+// service and one address. An entry of another writer with another address would have the answers of
+// whoever listens there taken for the worker's.
+func sameProcess(a, b *apiv1.PoolWorker) bool {
+	return a.GetService() == b.GetService() && a.GetAddress() == b.GetAddress()
+}
+
 // observe remembers the report, unless a newer one has arrived, which it then reports.
 func (o *ReportOrder) observe(reported *apiv1.PoolWorker, now time.Time) (superseded bool) {
 	o.mu.Lock()
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -15,7 +15,8 @@
 	capacity resources
 	free     resources // capacity minus the resources of all runs
 	runs     map[runKey]*run
-	orphaned int  // number of runs of unknown tasks, whose size is unknown
+	orphaned int // number of runs of unknown tasks, whose size is unknown
+	addedAt  time.Time
 	lost     bool // removed from the pool
 
 	reservedFor *unit // the waiting gang that has reserved the worker; nil: none
@@ -47,7 +48,7 @@
 	size := capacity(record)
 	return &worker{
 		id: record.GetId(), record: record, capacity: size, free: size,
-		runs: make(map[runKey]*run), leaving: record.GetGone(),
+		runs: make(map[runKey]*run), addedAt: time.Now(), leaving: record.GetGone(),
 	}
 }
 
