dispatch: an allowance for rounding, and the reason why a worker is removed

Two readings of one clock may be rounded differently: 10 ms are allowed before a reading counts as a later incarnation's, which would remove the worker. A worker that is removed without having answered is logged so, not as one whose leases expired.

--- a/internal/dispatch/crash_record.go
+++ b/internal/dispatch/crash_record.go
@@ -7,9 +7,9 @@
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 )
 
-// recordCrash records a worker's crash at the time under its runs, which are discarded already. Their tasks
-// do not start again before the record is committed: a later leader must not lose count of the
-// workers that a task has crashed. The caller holds the lock.
+// recordCrash records a worker's crash at the time under its runs, which are discarded already.
+// Their tasks do not start again before the record is committed: a later leader must not lose
+// count of the workers that a task has crashed. The caller holds the lock.
 func (p *pool) recordCrash(w *worker, c crash, at time.Time) {
 	p.d.counters.workersCrashed.Inc(1)
 	isBack := func(other *worker) bool { return other.record.GetAddress() == w.record.GetAddress() }
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -147,7 +147,11 @@
 	if now.After(w.leaseEnd.Add(leaseExpiryMargin)) && (w.synced || unheard || w.leaving || len(w.runs) > 0 || p.isUnreconciled(w)) {
 		// Nothing can be running there, and no request of this term can start
 		// anything. The worker is added again when it reports.
-		p.removeWorker(w, lossSilent, "its leases expired")
+		reason := "its leases expired"
+		if !w.synced {
+			reason = "it has not answered this leader"
+		}
+		p.removeWorker(w, lossSilent, reason)
 		return false
 	}
 	return true
--- a/internal/dispatch/later_incarnation.go
+++ b/internal/dispatch/later_incarnation.go
@@ -2,11 +2,16 @@
 
 import "time"
 
+// clockRounding is how much two readings of one clock may differ by the way they are rounded.
+const clockRounding = 10 * time.Millisecond
+
 // isOfLaterIncarnation reports whether a reading of the worker's clock is of a later incarnation,
 // whose clock starts anew at 0. before is the reading that was known when the request was sent: a
 // response to it can't be older, however late it is read. The worker may be reached under the id
 // of the incarnation that has ended.
-func isOfLaterIncarnation(clockMs, before int64) bool { return clockMs > 0 && clockMs < before }
+func isOfLaterIncarnation(clockMs, before int64) bool {
+	return clockMs > 0 && clockMs+clockRounding.Milliseconds() < before
+}
 
 // handleStartInLaterIncarnation handles that a later incarnation of the worker has confirmed the
 // start of a run. The task is not started elsewhere before that incarnation has reported the run,
