--- a/internal/dispatch/later_incarnation_test.go
+++ b/internal/dispatch/later_incarnation_test.go
@@ -77,6 +77,7 @@
 		w.answerTime = 2 * clockAdvance
 	}
 	c := newTestCluster(t, workers...)
+	c.timing.MaxLease = cutLease
 	d, _ := c.startLeader()
 	c.submit("job", stepOf(1, 1000))
 	c.eventually("the task runs", func() bool { return countRunning(workers) == 1 })
--- a/internal/dispatch/refused_connections_test.go
+++ b/internal/dispatch/refused_connections_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 )
 
+// cutLease is the longest lease. The leases, half as long, outlast a few refused calls also on a
+// slow machine: a task may start elsewhere after they have expired.
+const cutLease = 10 * time.Second
+
 // A worker behind a link that reset connections was taken for ended, and its tasks were
 // started elsewhere while they ran on under its lease.
 func TestRefusedConnectionsAreNoProofOfAnEnd(t *testing.T) {
@@ -15,6 +20,7 @@
 	first, second := newFakeWorker("w1", 1000), newFakeWorker("w2", 1000)
 	workers := []*fakeWorker{first, second}
 	c := newTestCluster(t, first, second)
+	c.timing.MaxLease = cutLease
 	d, _ := c.startLeader()
 	c.submit("job", stepOf(1, 1000))
 	c.eventually("the task runs", func() bool { return countRunning(workers) == 1 })
