dispatch: log the incarnation of runs and workers, and what is left of a lease

The lines of a start, an end and a loss named the worker's id, which its incarnations share: whether the one that carried a start out was the one that was lost could not be told from them.

--- a/internal/dispatch/crash_record.go
+++ b/internal/dispatch/crash_record.go
@@ -16,7 +16,7 @@
 	if !slices.ContainsFunc(p.workerList, isBack) {
 		p.crashedWorkers.add(w.record, at)
 	}
-	p.d.Logger.Warn("worker crashed", "worker", w.record.GetId(), "runs", len(c.suspects), "attributed", c.attributed,
+	p.d.Logger.Warn("worker crashed", "worker", w.id, "born", w.record.GetBornUnixMs(), "runs", len(c.suspects), "attributed", c.attributed,
 		"youngest_ms", c.youngest.Milliseconds())
 	var records []crashRecord
 	for _, r := range c.suspects {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -272,5 +272,5 @@
 
 // logRun returns the log attributes that identify a run.
 func logRun(r *run) slog.Attr {
-	return slog.Group("run", "task", r.name, "number", r.number, "worker", r.worker.record.GetId())
+	return slog.Group("run", "task", r.name, "number", r.number, "worker", r.worker.id, "born", r.worker.record.GetBornUnixMs())
 }
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -52,7 +52,7 @@
 	default:
 		p.d.counters.endsOther.Inc(1)
 	}
-	p.d.Logger.Info("run ended", "task", end.Task, "number", end.Run, "worker", w.record.GetId(),
+	p.d.Logger.Info("run ended", "task", end.Task, "number", end.Run, "worker", w.id, "born", w.record.GetBornUnixMs(),
 		"outcome", runOutcomeNames[end.Outcome], "saved", end.Checkpoint != "")
 }
 
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -130,7 +130,7 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	if w.synced && w.failedCalls == 0 {
-		p.d.Logger.Warn("worker does not answer", "worker", w.record.GetId(), "error", err, "runs", len(w.runs))
+		p.d.Logger.Warn("worker does not answer", "worker", w.id, "born", w.record.GetBornUnixMs(), "error", err, "runs", len(w.runs))
 	}
 	// A worker that has never answered this leader runs nothing of it. Its record may be of another writer.
 	unheard := !w.synced && now.Sub(w.addedAt) > p.d.Timing.MaxLease
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -177,7 +177,7 @@
 	switch {
 	case w == nil:
 		if !record.GetGone() {
-			p.d.Logger.Info("worker added", "worker", record.GetId(), "service", p.service,
+			p.d.Logger.Info("worker added", "worker", record.GetId(), "born", record.GetBornUnixMs(), "service", p.service,
 				"cpu_millis", record.GetCpuMillis(), "draining", record.GetDraining())
 			p.addWorker(record)
 		}
@@ -219,8 +219,8 @@
 	now := time.Now()
 	ended := w.endedBy(now)
 	crashed := p.crashUnder(w, ended)
-	p.d.Logger.Warn("worker lost", "worker", w.record.GetId(), "service", p.service, "reason", reason,
-		"runs", len(w.runs), "heard_ms_ago", time.Since(w.reportedAt).Milliseconds())
+	p.d.Logger.Warn("worker lost", "worker", w.id, "born", w.record.GetBornUnixMs(), "service", p.service, "reason", reason,
+		"runs", len(w.runs), "heard_ms_ago", time.Since(w.reportedAt).Milliseconds(), "lease_left_ms", w.leaseEnd.Sub(now).Milliseconds())
 	p.d.counters.workersLost.Inc(1)
 	w.cancel()
 	p.d.workerCount.Add(-1)
--- a/internal/dispatch/probable_crashes.go
+++ b/internal/dispatch/probable_crashes.go
@@ -69,7 +69,7 @@
 	w.suspected = true
 	c := p.crashUnder(w, w.refusedAt)
 	p.probableCrashes.add(probableCrash{at: w.refusedAt, queues: startedQueues(c.suspects, w.refusedAt)})
-	p.d.Logger.Warn("worker probably crashed", "worker", w.record.GetId(), "runs", len(c.suspects), "attributable", c.attributed)
+	p.d.Logger.Warn("worker probably crashed", "worker", w.id, "born", w.record.GetBornUnixMs(), "runs", len(c.suspects), "attributable", c.attributed)
 	for _, queue := range p.probableCrashes.implicated() {
 		p.containQueue(queue, now)
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -48,7 +48,7 @@
 	}
 	if !w.synced {
 		w.synced = true
-		p.d.Logger.Info("worker synced", "worker", w.record.GetId(), "active", len(resp.Active), "ended", len(resp.Ended),
+		p.d.Logger.Info("worker synced", "worker", w.id, "born", w.record.GetBornUnixMs(), "active", len(resp.Active), "ended", len(resp.Ended),
 			"partial", resp.Partial)
 	}
 	if len(ends) == 0 { // otherwise commitEnds does so
