dispatch: failing tests of starts that the next incarnation of a worker executes

What callers saw: tasks that ran twice at a time (docs/incidents/tasks-run-twice.md).

A worker crashes and is back at once under its id. Four ways in which the leader gives its run up while the next incarnation runs it: the start was answered by that one; it got no answer and is executed late; it was executed under the longest lease, and the worker is then silent; a new leader takes the next incarnation for empty before it has answered.

--- a/internal/dispatch/fake_worker_test.go
+++ b/internal/dispatch/fake_worker_test.go
@@ -26,8 +26,9 @@
 
 	mu           sync.Mutex
 	createdAt    time.Time
-	token        uint64 // highest fencing token seen
-	deadline     int64  // end of the lease, on the worker's clock
+	token        uint64        // highest fencing token seen
+	deadline     int64         // end of the lease, on the worker's clock
+	maxLease     time.Duration // longer leases are shortened to it; 0: they are not
 	runs         map[runKey]StartRequest
 	highestEnded map[string]int64 // highest run stopped or ended, by task
 	ended        []EndedRun
@@ -48,6 +49,8 @@
 	discardLost  bool           // lost start requests are not kept in lostStarts
 	lostError    error          // of lost start requests; nil: errNoResponse
 	onLost       func()         // called under the lock when a start request is lost
+	onReceipt    func()         // called once, under the lock, when a start request is received
+	losesAnswer  bool           // start requests are executed and get no response, and then the worker is silent
 	starts       []StartRequest // requests that started a run
 	onStart      func()         // if set, called under the lock after each start of a run
 	stopsHeld    bool           // runs go on after a stop request, until they are finished
@@ -83,6 +86,14 @@
 	}
 }
 
+// extendLease extends the lease to the deadline. The caller holds the lock.
+func (w *fakeWorker) extendLease(deadline int64) {
+	if w.maxLease > 0 {
+		deadline = min(deadline, w.nowMs()+w.maxLease.Milliseconds())
+	}
+	w.deadline = max(w.deadline, deadline)
+}
+
 // callError returns the error with which calls to the worker fail, or nil.
 func (w *fakeWorker) callError() error {
 	switch {
@@ -122,6 +133,10 @@
 		w.startsUnsent--
 		return Response{}, ErrNotSent
 	}
+	if received := w.onReceipt; received != nil {
+		w.onReceipt = nil
+		received()
+	}
 	if w.startsToLose > 0 {
 		w.startsToLose--
 		if w.onLost != nil {
@@ -135,10 +150,14 @@
 		}
 		return Response{}, errNoResponse
 	}
-	if resp := w.startLocked(req); !w.noListener {
+	resp := w.startLocked(req)
+	switch {
+	case w.losesAnswer:
+		w.silent = true
+	case !w.noListener:
 		return resp, nil
 	}
-	return Response{}, errNoResponse // it has crashed
+	return Response{}, errNoResponse // it has crashed or lost the answer
 }
 
 func (w *fakeWorker) startLocked(req StartRequest) Response {
@@ -154,7 +173,7 @@
 		resp.Refusal = RefusedDeadlinePassed
 	default:
 		w.token = req.Token
-		w.deadline = max(w.deadline, req.Deadline)
+		w.extendLease(req.Deadline)
 		if _, running := w.runs[key]; !running {
 			w.runs[key] = req
 			w.starts = append(w.starts, req)
@@ -219,7 +238,7 @@
 	}
 	w.endExpiredRuns()
 	w.token = req.Token
-	w.deadline = max(w.deadline, req.Deadline)
+	w.extendLease(req.Deadline)
 	w.ackCursor = max(w.ackCursor, req.Cursor)
 	for len(w.ended) > 0 && w.ended[0].Sequence <= w.ackCursor {
 		w.ended = w.ended[1:]
@@ -386,6 +405,15 @@
 	return record
 }
 
+// rebornLocked ends the incarnation and begins the next one at once. The clock of that one shows
+// what the former one's would: it may have been read last long before. The caller holds the lock.
+func (w *fakeWorker) rebornLocked() {
+	createdAt := w.createdAt
+	w.crashLocked()
+	w.restartLocked()
+	w.createdAt = createdAt
+}
+
 // currentRecord returns the record of the current incarnation.
 func (w *fakeWorker) currentRecord() *apiv1.PoolWorker {
 	w.mu.Lock()
