dispatch: runs move to the next incarnation of their worker until it has listed its own

Cause: a worker that crashes is back at once under its id and address, and a start names nothing else. When the leader learned of the next incarnation, it discarded all runs as ended with the former one, also those whose starts the next one had executed. The clock in the response to a start, which was to tell them apart, doesn't: that of the next incarnation may show more than the leader has read last, or 0, which counted as not sent. The leases of a silent worker were counted on the clock of the former incarnation; on the next one's, the same deadline is the longest lease. A new leader took a worker for settled by the report of its next incarnation, which may have run what the former leader had started.

Change: only a list of runs proves in which incarnation one is, as it has the birth. The sent runs of an ended incarnation move to the next one under the same id and occupy their capacity there. Its first list decides: what it has goes on, what it lacks has ended with the former one, and the crash is counted under these alone. A run of which a request is unanswered is first stopped there, so that the start is rejected; so are runs that are over but whose starts may still be executed, for 12 s. Without an answer of the next incarnation the tasks wait for the longest lease. An incarnation that has answered and not reported gets no new tasks, and the table keeps the former record, so that a later leader waits for that worker. Rebirths are not concluded from clocks any more.

--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -103,17 +103,17 @@
 	w.observeClock(1, time.Now())
 	p.startRuns(u, []placement{{u.tasks[0], w, ""}, {u.tasks[1], w, ""}}, time.Now())
 	unanswered, unsent := u.tasks[0].run, u.tasks[1].run
-	_, sent := p.startRequest(unanswered, "", 1)
+	_, _, sent := p.startRequest(unanswered, "", 1)
 	is.True(sent)
 	is.True(!p.handleStartResult(unanswered, Response{}, errNoResponse, time.Now(), 1))
 	shrunk := proto.CloneOf(w.record)
 	shrunk.CpuMillis = 1000
 	p.updateWorkerRecord(shrunk)
-	_, sent = p.startRequest(unanswered, "", 2)
+	_, _, sent = p.startRequest(unanswered, "", 2)
 	is.True(!sent)
 	is.Equal(unanswered.phase, phaseStopping) // it may run, and counts until its stop is confirmed
 	is.Equal(w.runs[unanswered.key()], unanswered)
-	_, sent = p.startRequest(unsent, "", 1)
+	_, _, sent = p.startRequest(unsent, "", 1)
 	is.True(!sent)
 	is.Equal(u.tasks[1].run, nil)
 }
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -56,6 +56,12 @@
 	return max(t.MaxLease/2, min(restartSafeLease, t.MaxLease*3/4))
 }
 
+// longestLease returns the time, on our clock, after which a lease that a worker was granted now
+// has certainly expired, whatever its deadline.
+func (t Timing) longestLease() time.Duration {
+	return time.Duration(float64(t.MaxLease) / minClockRate)
+}
+
 // restartSafeLease is a lease that outlasts a restart of all control processes:
 // about 1.5 s of downtime, 0.6 s for an election, 0.5 s until every worker's
 // lease is renewed, and the time since the last renewal, which is at most a
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -40,14 +40,14 @@
 	youngest   time.Duration // age of the youngest suspect
 }
 
-// crashUnder returns the runs that may have caused the worker's crash: those whose start may
+// crashUnder returns which of the runs may have caused the worker's crash: those whose start may
 // have been executed and that were not proven harmless when the worker was last heard from or, if
 // all were, all of them. The crash is attributed to their job if they are all of one and on trial,
 // and the worker has answered shortly before. One of the runs must have been confirmed,
 // unless crashes point at its task already: the start may have found the worker down.
-func (p *pool) crashUnder(w *worker, now time.Time) crash {
+func (p *pool) crashUnder(w *worker, runs []*run, now time.Time) crash {
 	var proven, unproven []*run
-	for _, r := range w.runs {
+	for _, r := range runs {
 		switch {
 		case !r.sent:
 		case p.provenHarmless(r, w.heardAt):
--- /dev/null
+++ b/internal/dispatch/incarnation.go
@@ -0,0 +1,140 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+)
+
+// The incarnations of a worker may share its id and address, and a request names no more than
+// these. So a start may have been executed by a later incarnation than the one it was sent to. The
+// response does not tell which, nor does the worker's clock. A list of runs does: it has the
+// incarnation's birth.
+
+// predecessor is an incarnation of a worker that has ended, until the next one has listed which of
+// its runs it executed itself.
+type predecessor struct {
+	worker *worker
+	runs   []*run // that were transferred to the next incarnation
+	ended  time.Time
+}
+
+// nextRecord returns a record for a later incarnation of the worker that has not reported itself.
+func nextRecord(former *apiv1.PoolWorker, bornUnixMs int64) *apiv1.PoolWorker {
+	record := proto.CloneOf(former)
+	record.BornUnixMs, record.Sequence, record.Draining, record.Gone = bornUnixMs, 0, false, false
+	return record
+}
+
+// storedRecord returns the worker's record in the replicated table.
+func (w *worker) storedRecord() *apiv1.PoolWorker {
+	if w.stored != nil {
+		return w.stored
+	}
+	return w.record
+}
+
+// replaceWorker replaces a worker whose incarnation has ended by the next one under the same id.
+// All runs whose starts were sent move to that one: it may have executed them, or may still do so. Its
+// first complete list of runs tells which ended with the former incarnation. The caller holds the lock.
+//
+// Until the next incarnation has reported itself, the table has the former one's record, so that a
+// later leader waits for the worker as well.
+func (p *pool) replaceWorker(w *worker, record *apiv1.PoolWorker, reported bool, reason string) {
+	now := time.Now()
+	p.detachWorker(w, reason, now)
+	next := p.addWorker(record)
+	if !reported {
+		next.stored = w.storedRecord()
+	}
+	// A deadline on the clock of the former incarnation is far ahead on that of the next one.
+	next.recordLeaseGranted(now, p.d.Timing.longestLease())
+	before, lateStarts := &predecessor{worker: w, ended: w.endedBy(now)}, slices.Clone(w.lateStarts)
+	for _, r := range w.runs {
+		if !r.sent || r.task == nil {
+			p.discardRun(r)
+			continue
+		}
+		before.runs = append(before.runs, r)
+	}
+	for _, r := range before.runs {
+		w.removeRun(r)
+		p.transferRun(r, next)
+	}
+	next.predecessor = before
+	p.fenceLateStarts(lateStarts, next, now)
+	p.d.Logger.Info("worker replaced", "worker", next.id, "born", record.GetBornUnixMs(), "reported", reported,
+		"runs", len(before.runs), "late_starts", len(lateStarts))
+	p.requestPass()
+}
+
+// transferRun adds a run of a former incarnation to the next one. A stop that the former one has
+// confirmed is sent again.
+func (p *pool) transferRun(r *run, next *worker) {
+	r.worker, r.listed, r.transferred = next, false, true
+	next.addRun(r)
+	if r.stopConfirmed {
+		r.stopConfirmed = false
+		p.d.spawn(func() { p.sendStop(r) })
+	}
+}
+
+// settlePredecessor records the crash of the incarnation before, if any, once the worker has listed
+// all of its runs: those of them that moved here were not on the former one. The worker is
+// lost if listed is nil; which incarnation had the runs is not known then, so the crash is
+// attributed to nobody. The caller holds the lock.
+func (p *pool) settlePredecessor(w *worker, listed map[runKey]bool) {
+	before := w.predecessor
+	if before == nil {
+		return
+	}
+	w.predecessor = nil
+	if !before.worker.crashed(lossEnded) {
+		return
+	}
+	runs := slices.DeleteFunc(before.runs, func(r *run) bool { return listed[r.key()] })
+	c := p.crashUnder(before.worker, runs, before.ended)
+	if listed == nil {
+		c.attributed, c.alone = false, false
+	}
+	p.recordCrash(before.worker, c, before.ended)
+}
+
+// delayRestart delays the next start of a task until the longest lease has expired that any
+// incarnation of its worker may have been granted with a start executed by the time.
+func (p *pool) delayRestart(r *run, executed time.Time) {
+	if t := r.task; t != nil && !t.done {
+		t.notBefore = latestOf(t.notBefore, executed.Add(p.d.Timing.longestLease()+leaseExpiryMargin))
+	}
+}
+
+// maxStartDelay is how long after it was sent a start request without a response may be executed,
+// by what the users' platform says of such requests.
+const maxStartDelay = 12 * time.Second
+
+// addLateStart remembers a run that is over of which a start request may still be executed, and
+// forgets those of which none may any more.
+func (w *worker) addLateStart(r *run, now time.Time) {
+	w.lateStarts = append(slices.DeleteFunc(w.lateStarts, func(other *run) bool {
+		return now.Sub(other.attemptSent) > maxStartDelay
+	}), r)
+}
+
+// fenceLateStarts stops, on a worker, runs that are over on a former incarnation of it, so that it
+// rejects their start requests. The caller holds the lock.
+func (p *pool) fenceLateStarts(runs []*run, w *worker, now time.Time) {
+	for _, r := range runs {
+		if now.Sub(r.attemptSent) > maxStartDelay {
+			continue
+		}
+		r.worker, r.phase, r.stopConfirmed, r.transferred = w, phaseActive, false, true
+		w.addRun(r)
+		if t := r.task; t.run == nil && !t.done {
+			t.run = r // it is not started elsewhere before
+		}
+		p.stopRun(r, "a start request of it may reach its worker's next incarnation")
+	}
+}
--- a/internal/dispatch/latency_test.go
+++ b/internal/dispatch/latency_test.go
@@ -26,7 +26,7 @@
 	u, w := unitOfTwo(p), p.workerList[0]
 	w.observeClock(1, time.Now())
 	p.startRuns(u, []placement{{u.tasks[0], w, ""}}, time.Now().Add(-wait))
-	_, sent := p.startRequest(u.tasks[0].run, "", 1)
+	_, _, sent := p.startRequest(u.tasks[0].run, "", 1)
 	is.True(sent)
 	is.True(p.handleStartResult(u.tasks[0].run, Response{ClockMs: 1}, nil, time.Now(), 1))
 	is.True(p.d.counters.startLatency.Min() >= wait.Milliseconds())
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -17,7 +18,8 @@
 //     active or can still start;
 //   - a run is removed from its worker only when the worker has reported its
 //     end, when the worker certainly does not have it and never will, or when
-//     the worker's incarnation has ended or its lease has expired.
+//     its lease has expired. If the worker's incarnation has ended, its runs move
+//     to the next one under the same id, until that has listed its own.
 type pool struct {
 	d       *Dispatcher
 	service string
@@ -95,7 +97,7 @@
 		w = p.addWorker(record)
 	}
 	p.unreconciled[record.GetId()] = oldLeaseEnd
-	w.leaseEnd = oldLeaseEnd
+	w.leaseEnd, w.inherited = oldLeaseEnd, true
 }
 
 // addJob adds a job, unless the pool has it. If inherited, tasks that the
@@ -148,14 +150,12 @@
 func (p *pool) addWorker(record *apiv1.PoolWorker) *worker {
 	w := newWorker(record)
 	p.crashedWorkers.remove(record)
-	if records := p.silentLosses.take(record, time.Now()); len(records) > 0 {
-		p.d.spawn(func() { p.commitCrash(records) })
-	}
 	ctx, cancel := context.WithCancel(p.d.ctx)
 	w.cancel = cancel
 	p.workers[record.GetId()] = w
 	p.workerList = append(p.workerList, w)
 	p.d.workerCount.Add(1)
+	p.resumeAfterSilence(w, time.Now())
 	p.d.spawn(func() { p.holdLoop(ctx, w) })
 	return w
 }
@@ -182,12 +182,12 @@
 			p.addWorker(record)
 		}
 	case w.record.GetBornUnixMs() < record.GetBornUnixMs():
-		p.removeWorker(w, lossEnded, "a new incarnation of the worker reported")
-		p.addWorker(record)
+		p.replaceWorker(w, record, true, "a new incarnation of the worker reported")
 	case w.record.GetBornUnixMs() == record.GetBornUnixMs():
-		if !RecordChanged(w.record, record) {
+		if w.stored == nil && !RecordChanged(w.record, record) {
 			return
 		}
+		w.stored = nil
 		if record.GetDraining() != w.record.GetDraining() || record.GetGone() != w.leaving {
 			p.d.Logger.Info("worker draining or gone", "worker", record.GetId(), "draining", record.GetDraining(), "gone", record.GetGone(), "runs", len(w.runs))
 		}
@@ -213,12 +213,39 @@
 		"accelerators_before", old.accelerators, "runs", len(w.runs), "overcommitted", w.free.overcommitted())
 }
 
-// removeWorker removes a worker on which nothing runs any longer, and discards
-// its runs. If it has crashed, that is recorded of their tasks. The caller holds the lock.
+// removeWorker removes a worker on which nothing runs any longer, and discards its runs. If it
+// has crashed, that is recorded of their tasks. The caller holds the lock, and calls replaceWorker
+// instead if the next incarnation has the same id.
 func (p *pool) removeWorker(w *worker, cause lossCause, reason string) {
 	now := time.Now()
 	ended := w.endedBy(now)
-	crashed := p.crashUnder(w, ended)
+	p.detachWorker(w, reason, now)
+	runs := slices.Collect(maps.Values(w.runs))
+	crashed, lateStarts := p.crashUnder(w, runs, ended), slices.Clone(w.lateStarts)
+	for _, r := range runs {
+		p.discardRun(r)
+	}
+	switch {
+	case w.crashed(cause):
+		p.recordCrash(w, crashed, ended)
+	case cause == lossSilent:
+		w.silent = true
+		for _, r := range runs {
+			if r.mayBeOfLaterIncarnation() {
+				p.delayRestart(r, r.attemptSent)
+				lateStarts = append(lateStarts, r)
+			}
+		}
+		p.silentLosses.add(w, crashed, lateStarts, now)
+	}
+	p.markReconciled(w.id)
+	p.d.forgetWorker(w.storedRecord())
+	p.requestPass()
+}
+
+// detachWorker takes a worker out of the pool and logs its loss. Its runs remain with it. The
+// caller holds the lock.
+func (p *pool) detachWorker(w *worker, reason string, now time.Time) {
 	p.d.Logger.Warn("worker lost", "worker", w.id, "born", w.record.GetBornUnixMs(), "service", p.service, "reason", reason,
 		"runs", len(w.runs), "heard_ms_ago", time.Since(w.reportedAt).Milliseconds(), "lease_left_ms", w.leaseEnd.Sub(now).Milliseconds())
 	p.d.counters.workersLost.Inc(1)
@@ -229,25 +256,10 @@
 		delete(p.workers, w.record.GetId())
 	}
 	p.workerList = slices.DeleteFunc(p.workerList, func(other *worker) bool { return other == w })
-	for _, r := range w.runs {
-		p.discardRun(r)
-		if r.sent && r.confirmedAt.IsZero() && r.task != nil {
-			// A request in flight may reach the next incarnation under the same id.
-			r.task.notBefore = latestOf(r.task.notBefore, now.Add(maxAttemptTimeout))
-		}
-	}
 	if ends := w.uncommitted; len(ends) > 0 {
 		p.d.spawn(func() { p.commitEndsOfLost(w, ends) })
 	}
-	switch {
-	case w.crashed(cause):
-		p.recordCrash(w, crashed, ended)
-	case cause == lossSilent:
-		p.silentLosses.add(w.record, crashed, now)
-	}
-	p.markReconciled(w.record.GetId())
-	p.d.forgetWorker(w.record)
-	p.requestPass()
+	p.settlePredecessor(w, nil)
 }
 
 // discardRun removes a run that is certainly over or never started and whose end
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -22,7 +22,7 @@
 		return nil, true
 	}
 	if resp.BornUnixMs > w.record.GetBornUnixMs() && w.record.GetBornUnixMs() > 0 {
-		p.removeWorker(w, lossEnded, "a new incarnation of the worker answered")
+		p.replaceWorker(w, nextRecord(w.record, resp.BornUnixMs), false, "a new incarnation of the worker answered")
 		return nil, false
 	}
 	w.observeClock(resp.ClockMs, now)
@@ -44,6 +44,7 @@
 		p.observeActiveRun(w, key, active, sentAt)
 	}
 	if w.endsPending = resp.Partial; !resp.Partial {
+		p.settlePredecessor(w, listed)
 		p.discardMissingRuns(w, listed, sentAt)
 	}
 	if !w.synced {
@@ -59,10 +60,15 @@
 }
 
 // discardMissingRuns discards the runs that a complete response to a Hold request sent at
-// sentAt would list, and does not.
+// sentAt would list, and does not. One that may still be started is stopped first, so that the
+// worker rejects it.
 func (p *pool) discardMissingRuns(w *worker, listed map[runKey]bool, sentAt time.Time) {
 	for key, r := range w.runs {
-		if !listed[key] && r.mustBeListedIn(sentAt) {
+		switch {
+		case listed[key] || !r.mustBeListedIn(sentAt):
+		case r.phase == phaseActive && r.unanswered:
+			p.stopRun(r, "missing from the worker's report, and a start request of it is unanswered")
+		default:
 			p.d.Logger.Info("run missing from the worker's report", logRun(r), "reason", r.reason)
 			p.discardRun(r)
 		}
@@ -105,6 +111,10 @@
 	if r == nil {
 		r = p.adoptRun(w, key)
 	}
+	if r.transferred && !r.listed {
+		p.d.Logger.Info("run executed by the next incarnation", logRun(r))
+	}
+	r.listed = true
 	if r.phase == phaseStarting {
 		p.confirmStart(r, sentAt)
 		p.d.Logger.Info("run started", logRun(r), "seen", "in the worker's report")
@@ -139,6 +149,9 @@
 		r.size, r.risk = t.unit.size, p.riskOf(t.unit, r.confirmedAt)
 	}
 	w.addRun(r)
+	if !w.inherited { // started for a former incarnation
+		w.recordLeaseGranted(r.confirmedAt, p.d.Timing.longestLease())
+	}
 	if t != nil {
 		if t.run == nil && !t.done {
 			r.task, t.run = t, r
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -22,13 +22,17 @@
 	size          resources
 	phase         phase
 	decidedAt     time.Time // when this leader decided on the start; zero: it adopted the run
-	startSent     time.Time
+	startSent     time.Time // when the first start request was sent
+	attemptSent   time.Time // when the latest start request was sent
 	sent          bool      // a start request was sent, or the worker reported the run
+	unanswered    bool      // a start request got no response and may be executed later
+	listed        bool      // the worker's incarnation has listed it
+	transferred   bool      // from the incarnation that it was started for to a later one
 	clockBefore   int64     // reading of the worker's clock known when the latest start request was sent
 	risk          risk      // of its unit when it was started
 	confirmedAt   time.Time // when the worker confirmed the start, or the stop if stopConfirmed
 	stopConfirmed bool
-	reason        string // why it is stopped; while starting: set once an attempt got no response
+	reason        string // why it is stopped
 	ticket        string // of the policy service
 	orphaned      bool   // neither its task nor its size is known to this leader
 }
@@ -36,6 +40,13 @@
 // isLongRunning reports whether the run is of a long-running task.
 func (r *run) isLongRunning() bool { return r.task != nil && r.task.unit.spec.GetLongRunning() }
 
+// mayBeOfLaterIncarnation reports whether a later incarnation than the run's worker may have
+// executed its start or may still do so: the worker has not listed the run, or a request got no
+// response.
+func (r *run) mayBeOfLaterIncarnation() bool {
+	return r.sent && r.task != nil && (!r.listed || r.unanswered)
+}
+
 // runKey identifies a run among those of a worker.
 type runKey struct {
 	name   string
--- a/internal/dispatch/start_backlog_test.go
+++ b/internal/dispatch/start_backlog_test.go
@@ -61,7 +61,7 @@
 	}{{time.Now().Add(-time.Second), false}, {time.Now().Add(time.Minute), true}} {
 		u.advice.recordAnswer([]*worker{w}, map[string]string{w.record.GetId(): "ticket"}, c.expires)
 		p.startRuns(u, []placement{{u.tasks[0], w, "ticket"}}, time.Now())
-		_, sent := p.startRequest(u.tasks[0].run, "", 1)
+		_, _, sent := p.startRequest(u.tasks[0].run, "", 1)
 		is.Equal(sent, c.sent)
 		is.Equal(u.tasks[0].run != nil, c.sent)
 	}
--- a/internal/dispatch/start_stop.go
+++ b/internal/dispatch/start_stop.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 )
 
 // startRuns creates the runs of the placements and sends their start requests. The
@@ -67,7 +69,7 @@
 		return false
 	}
 	defer p.d.orderSlots.release()
-	req, ok := p.startRequest(r, checkpoint, attempt)
+	req, record, ok := p.startRequest(r, checkpoint, attempt)
 	if !ok {
 		return false
 	}
@@ -75,50 +77,54 @@
 	defer cancel()
 	sentAt := time.Now()
 	p.d.counters.startAttempts.Inc(1)
-	resp, err := p.d.WorkerClient.Start(ctx, p.recordOf(r.worker), req)
+	resp, err := p.d.WorkerClient.Start(ctx, record, req)
 	return !p.handleStartResult(r, resp, err, sentAt, attempt)
 }
 
-// startRequest returns the start request of a run and records the lease that it
+// startRequest returns the start request of a run with its worker's record, and records the lease that it
 // grants. It returns false if the run must not be started any more.
-func (p *pool) startRequest(r *run, checkpoint string, attempt int) (StartRequest, bool) {
+func (p *pool) startRequest(r *run, checkpoint string, attempt int) (StartRequest, *apiv1.PoolWorker, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if r.phase != phaseStarting || r.worker.runs[r.key()] != r || p.d.ctx.Err() != nil {
-		return StartRequest{}, false
+		return StartRequest{}, nil, false
+	}
+	if r.transferred {
+		p.discardUnsentRun(r, "its worker's incarnation has ended")
+		return StartRequest{}, nil, false
 	}
 	if r.worker.free.overcommitted() {
 		p.discardUnsentRun(r, "its worker's capacity has shrunk")
-		return StartRequest{}, false
+		return StartRequest{}, nil, false
 	}
 	now := time.Now()
 	remaining := p.d.leaderLease.remaining()
 	leaseDeadline := r.worker.leaseDeadline(now, remaining)
 	if leaseDeadline == 0 {
 		p.discardUnsentRun(r, "leader lease expired or worker's clock unknown")
-		return StartRequest{}, false
+		return StartRequest{}, nil, false
 	}
 	// A run that an unanswered attempt may have started is there whatever its ticket is now.
-	if unanswered := r.reason != ""; !r.renewTicket(now) && !unanswered {
+	if !r.renewTicket(now) && !r.unanswered {
 		p.discardUnsentRun(r, "its ticket has expired")
-		return StartRequest{}, false
+		return StartRequest{}, nil, false
 	}
 	if attempt == 1 {
 		r.startSent = now
 	}
 	r.worker.recordLeaseGranted(now, remaining)
-	r.sent, r.clockBefore = true, r.worker.clockMs
+	r.sent, r.attemptSent, r.clockBefore = true, now, r.worker.clockMs
 	return StartRequest{
 		Task: r.name, Run: r.number, Payload: r.task.unit.job.spec.GetPayload(),
 		Deadline: leaseDeadline, Token: p.d.term, Checkpoint: checkpoint, Ticket: r.ticket,
-	}, true
+	}, r.worker.record, true
 }
 
 // discardUnsentRun ends a run whose start request was not sent in this attempt.
 // Requests of earlier attempts may still be executed, so the run is discarded
 // only if there were none, and stopped otherwise.
 func (p *pool) discardUnsentRun(r *run, reason string) {
-	if r.confirmedAt.IsZero() && r.reason == "" {
+	if r.confirmedAt.IsZero() && !r.unanswered {
 		p.d.Logger.Info("start not sent", logRun(r), "reason", reason)
 		r.task.notBefore = time.Now().Add(idlePassInterval)
 		p.discardRun(r)
@@ -134,16 +140,18 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	w := r.worker
-	if err == nil && resp.Refusal == Accepted && (w.lost || isOfLaterIncarnation(resp.ClockMs, r.clockBefore)) {
-		p.handleStartInLaterIncarnation(r, now)
-		return true
-	}
+	accepted := err == nil && resp.Refusal == Accepted
 	if w.runs[r.key()] != r || p.d.ctx.Err() != nil {
+		if accepted && w.silent {
+			p.delayRestart(r, now)
+		}
 		return true
 	}
-	if err == nil && resp.Refusal == Accepted {
-		w.observeClock(resp.ClockMs, now)
-		w.observeResponse(now)
+	if accepted {
+		if !r.transferred { // otherwise it may be of the incarnation before
+			w.observeClock(resp.ClockMs, now)
+			w.observeResponse(now)
+		}
 		if attempt == 1 {
 			p.responseTimer.observe(now.Sub(sentAt))
 		}
@@ -158,29 +166,36 @@
 	if r.phase != phaseStarting {
 		return true
 	}
+	again := !r.transferred && attempt < maxStartAttempts && now.Sub(r.startSent) < maxStartTime
 	switch {
-	case errors.Is(err, ErrOtherIncarnation):
+	case errors.Is(err, ErrOtherIncarnation) && !r.transferred:
 		p.removeWorker(w, lossEnded, "another incarnation answered a start request")
 		return true
-	case errors.Is(err, ErrNoListener) && attempt == 1:
+	case errors.Is(err, ErrNoListener) && !r.unanswered:
 		p.discardUnstartedRun(r, "nothing listens", idlePassInterval)
-		p.handleRefusedConnection(w, now)
+		if !r.transferred {
+			p.handleRefusedConnection(w, now)
+		}
 		return true
 	case errors.Is(err, ErrNotSent):
-		// Nothing else is placed there before the worker's next report.
-		w.failedCalls = max(w.failedCalls, 1)
-		if attempt < maxStartAttempts && now.Sub(r.startSent) < maxStartTime {
+		if !r.transferred { // nothing else is placed there before the worker's next report
+			w.failedCalls = max(w.failedCalls, 1)
+		}
+		if again {
 			return false
 		}
-		if r.reason == "" { // no attempt was sent
+		if !r.unanswered { // no attempt was sent
 			p.discardUnstartedRun(r, "no connection in time", idlePassInterval)
 			return true
 		}
 	case errors.Is(err, ErrConnectionLost):
 		// The worker may have ended. Another attempt could start the run in its next incarnation.
-	case err != nil && attempt < maxStartAttempts && now.Sub(r.startSent) < maxStartTime:
-		r.reason = "start unanswered"
-		return false
+		r.unanswered = true
+	case err != nil:
+		r.unanswered = r.unanswered || !errors.Is(err, ErrNoListener) && !errors.Is(err, ErrOtherIncarnation)
+		if again {
+			return false
+		}
 	}
 	if err != nil {
 		p.d.counters.startsUnanswered.Inc(1)
@@ -213,7 +228,9 @@
 // have started and ended there, so it is stopped instead.
 func (p *pool) handleStartRefusal(r *run, resp Response, attempt int, now time.Time) {
 	p.d.counters.startsRefused.Inc(1)
-	r.worker.observeClock(resp.ClockMs, now)
+	if !r.transferred {
+		r.worker.observeClock(resp.ClockMs, now)
+	}
 	if resp.Refusal == RefusedSuperseded || attempt > 1 {
 		p.d.Logger.Warn("start refused", logRun(r), "reason", string(resp.Refusal), "tries", attempt)
 		p.stopRun(r, "start refused after an unanswered try")
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 )
 
 // stopUnit stops all runs of a unit. The caller holds the lock.
@@ -64,21 +66,25 @@
 		return true
 	}
 	defer p.d.orderSlots.release()
-	if p.isOver(r) {
+	w, record := p.stopTarget(r)
+	if w == nil {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(p.d.ctx, p.responseTimer.timeout())
 	defer cancel()
 	p.d.counters.stopAttempts.Inc(1)
 	req := StopRequest{Task: r.name, Run: r.number, Token: p.d.term}
-	resp, err := p.d.WorkerClient.Stop(ctx, p.recordOf(r.worker), req)
+	resp, err := p.d.WorkerClient.Stop(ctx, record, req)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if r.worker.runs[r.key()] != r {
 		return true
 	}
+	if r.worker != w { // only the incarnation that it was sent to rejects the run now
+		return false
+	}
 	if errors.Is(err, ErrOtherIncarnation) {
-		p.removeWorker(r.worker, lossEnded, "another incarnation answered a stop request")
+		p.removeWorker(w, lossEnded, "another incarnation answered a stop request")
 		return true
 	}
 	if err == nil && resp.Refusal == Accepted {
@@ -88,10 +94,13 @@
 	return false
 }
 
-// isOver reports whether the worker has reported the end of the run or is certain not to
-// have it.
-func (p *pool) isOver(r *run) bool {
+// stopTarget returns the worker to which a stop request for the run has to be sent, with its
+// record, or nil if that has reported the end of the run or is certain not to have it.
+func (p *pool) stopTarget(r *run) (*worker, *apiv1.PoolWorker) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return r.worker.runs[r.key()] != r
+	if r.worker.runs[r.key()] != r {
+		return nil, nil
+	}
+	return r.worker, r.worker.record
 }
--- a/internal/dispatch/trial_workers.go
+++ b/internal/dispatch/trial_workers.go
@@ -112,14 +112,14 @@
 // newTrialWorkers counts what is on trial and computes the limits of a pass.
 func (p *pool) newTrialWorkers(waiting []*unit, now time.Time) *trialWorkers {
 	tw := &trialWorkers{p: p, now: now, gathering: make(map[*unit]bool)}
-	suspected := 0 // workers that have probably crashed
+	suspected := 0 // workers that have probably crashed, or have not reported since
 	for _, w := range p.workerList {
 		for _, u := range w.trialClaims {
 			tw.gathering[u] = true
 		}
 		w.trialClaims = nil
 		switch {
-		case w.suspected:
+		case w.suspected || w.stored != nil:
 			suspected++
 			continue
 		case w.trial:
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -12,12 +12,20 @@
 type worker struct {
 	id       string
 	record   *apiv1.PoolWorker // the newest; replaced, never modified
+	stored   *apiv1.PoolWorker // the former incarnation's, which the table has until this one reports; nil: record
 	capacity resources
 	free     resources // capacity minus the resources of all runs
 	runs     map[runKey]*run
 	orphaned int // number of runs of unknown tasks, whose size is unknown
 	addedAt  time.Time
 	lost     bool // removed from the pool
+	silent   bool // removed because it did not answer
+
+	predecessor *predecessor // whose runs this incarnation may have executed; nil: none
+	inherited   bool         // the previous leader has granted its leases
+	// lateStarts are runs that are over here, of which a start request may still be executed: by
+	// a later incarnation, as this one rejects it.
+	lateStarts []*run
 
 	reservedFor *unit // the waiting gang that has reserved the worker; nil: none
 	trial       bool  // runs contained and isolated units only
@@ -103,7 +111,7 @@
 
 // schedulable reports whether new tasks may be started on the worker.
 func (w *worker) schedulable(now time.Time) bool {
-	return w.synced && w.orphaned == 0 && !w.record.GetDraining() && !w.leaving && w.failedCalls == 0 && w.health.schedulable(now)
+	return w.synced && w.stored == nil && w.orphaned == 0 && !w.record.GetDraining() && !w.leaving && w.failedCalls == 0 && w.health.schedulable(now)
 }
 
 func (w *worker) hasLabel(label string) bool {
@@ -153,4 +161,7 @@
 	if r.orphaned {
 		w.orphaned--
 	}
+	if r.unanswered {
+		w.addLateStart(r, time.Now())
+	}
 }
