dispatch: a worker that has not just answered is sent no acknowledgements

Cause: a poll with the cursor of the former incarnation reached the next one under the same id, which forgot its own ends up to that number before the leader had seen them. Its next list then lacked the run, whose task started again. Class: a request that names a worker and is meant for one of its incarnations.

Nothing else forgets an end.

Change: the cursor is sent within 0.1 s after a report and with no failed call between, which is what follows each report as a rule. Otherwise the poll carries none and asks for a report at once. A crash breaks the poll in flight, so the first one to the next incarnation carries none.

The fake worker's polls now break when its incarnation ends.

--- a/internal/dispatch/fake_worker_test.go
+++ b/internal/dispatch/fake_worker_test.go
@@ -243,7 +243,7 @@
 	for len(w.ended) > 0 && w.ended[0].Sequence <= w.ackCursor {
 		w.ended = w.ended[1:]
 	}
-	wait := req.WaitMs > 0 && len(w.ended) == 0
+	wait, born := req.WaitMs > 0 && len(w.ended) == 0, w.record.GetBornUnixMs()
 	w.mu.Unlock()
 	if wait {
 		select {
@@ -262,6 +262,9 @@
 	if err := w.callError(); err != nil {
 		return HoldResponse{}, err
 	}
+	if w.record.GetBornUnixMs() != born {
+		return HoldResponse{}, ErrConnectionLost
+	}
 	w.endExpiredRuns()
 	w.holds++
 	resp := HoldResponse{ClockMs: w.nowMs(), BornUnixMs: w.record.GetBornUnixMs(), Ended: slices.Clone(w.ended)}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -15,6 +15,9 @@
 	// holdSlack is how much longer than the expected end of a run a poll waits, so that
 	// most ends arrive within it.
 	holdSlack = 300 * time.Millisecond
+	// maxAckDelay is how long after its last report a worker is sent acknowledgements. Later it may be
+	// another incarnation, and is asked for a report first.
+	maxAckDelay = 100 * time.Millisecond
 	// noListenerCallLimit is the number of consecutive calls that find no listener at the
 	// worker's address after which it has probably crashed. One that has never answered is removed.
 	noListenerCallLimit = 2
@@ -78,7 +81,12 @@
 func (p *pool) nextHoldRequest(w *worker, now time.Time) HoldRequest {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	req := HoldRequest{Token: p.d.term, Cursor: w.ackCursor}
+	req := HoldRequest{Token: p.d.term}
+	// The next incarnation would forget its own ends up to the cursor, unseen.
+	acknowledges := w.failedCalls == 0 && now.Sub(w.reportedAt) <= maxAckDelay
+	if acknowledges {
+		req.Cursor = w.ackCursor
+	}
 	// The lease of a worker that did not respond is not renewed: a request without
 	// a response may be executed late, and the end of the lease would never be
 	// certain.
@@ -87,7 +95,7 @@
 			w.recordLeaseGranted(now, remaining)
 		}
 	}
-	if w.synced && !w.endsPending && !p.hasStoppingRun(w) && w.failedCalls == 0 {
+	if w.synced && !w.endsPending && !p.hasStoppingRun(w) && acknowledges {
 		req.WaitMs = p.holdWait(w, now).Milliseconds()
 	}
 	return req
--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -169,3 +169,35 @@
 	reborn.finishAll(done)
 	c.eventually("the job is completed", func() bool { return c.state("job") == apiv1.JobState_JOB_STATE_COMPLETED })
 }
+
+// A poll that acknowledged ends of the former incarnation reached the next one, which forgot its
+// own ends of these sequences. A task that was done there was started again.
+func TestEndsOfTheNextIncarnationAreNotAcknowledgedUnseen(t *testing.T) {
+	is := is.New(t)
+	w := newFakeWorker("w1", 1000)
+	c := newTestCluster(t, w)
+	c.startLeader()
+	c.submit("before", stepOf(3, 300))
+	c.eventually("the first job is completed", func() bool {
+		w.finishAll(done)
+		return c.state("before") == apiv1.JobState_JOB_STATE_COMPLETED
+	})
+	starts := w.startCount()
+	w.withLock(func() {
+		w.onReceipt = w.rebornLocked
+		w.onStart = func() {
+			for key := range w.runs {
+				w.endLocked(key, done)
+			}
+		}
+	})
+	c.submit("job", stepOf(1, 1000))
+	c.eventually("the task is started", func() bool { return w.startCount() > starts })
+	holds := w.holdCount()
+	c.eventually("the next incarnation has answered", func() bool { return w.holdCount() > holds })
+	c.eventually("the job is completed", func() bool {
+		c.report(w)
+		return c.state("job") == apiv1.JobState_JOB_STATE_COMPLETED
+	})
+	is.Equal(w.startCount(), starts+1)
+}
