dispatch: a clock older than the last poll tells which incarnation has executed a start

Cause: only a report proved in which incarnation a run is, and a worker reports once in up to a second.

Change: the clock of a later incarnation starts at 0 after the last answered poll was sent. A start that is answered with a reading above the time since then, at the highest rate, has been executed by the known incarnation. A start that fails after its run has been stopped counts as unanswered too.

Test: TestClockReadingsOfALaterIncarnation.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -81,6 +81,7 @@
 func (p *pool) nextHoldRequest(w *worker, now time.Time) HoldRequest {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	w.lastPoll = p.d.Clock.Read()
 	req := HoldRequest{Token: p.d.term}
 	// The next incarnation would forget its own ends up to the cursor, unseen.
 	acknowledges := w.failedCalls == 0 && now.Sub(w.reportedAt) <= maxAckDelay
--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -7,12 +7,13 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/clock"
 )
 
 // The incarnations of a worker may share its id and address, and a request names no more than
-// these. So a start may have been executed by a later incarnation than the one it was sent to. The
-// response does not tell which, nor does the worker's clock. A list of runs does: it has the
-// incarnation's birth.
+// these. So a start may have been executed by a later incarnation than the one it was sent to, and the
+// response does not tell. A list of runs does: it has the incarnation's birth. So does a clock that
+// shows more than the time since the last list was asked for.
 
 // predecessor is an incarnation of a worker that has ended, until the next one has listed which of
 // its runs it executed itself.
@@ -22,6 +23,17 @@
 	ended  time.Time
 }
 
+// clockRounding is how much two readings of one clock may differ by the way they are rounded.
+const clockRounding = 10 * time.Millisecond
+
+// hasAnswered reports whether a response that was read now, with the reading of a worker's clock, is
+// certainly of the worker's incarnation: the clock of a later one has started at 0 after the poll
+// was sent that this one has answered last.
+func (w *worker) hasAnswered(clockMs int64, now clock.Reading) bool {
+	elapsed := now.MaxElapsedSince(w.answeredPoll)
+	return w.synced && clockMs > int64(float64((elapsed+clockRounding).Milliseconds())/minClockRate)
+}
+
 // nextRecord returns a record for a later incarnation of the worker that has not reported itself.
 func nextRecord(former *apiv1.PoolWorker, bornUnixMs int64) *apiv1.PoolWorker {
 	record := proto.CloneOf(former)
@@ -74,7 +86,7 @@
 // transferRun adds a run of a former incarnation to the next one. A stop that the former one has
 // confirmed is sent again.
 func (p *pool) transferRun(r *run, next *worker) {
-	r.worker, r.listed, r.transferred = next, false, true
+	r.worker, r.located, r.transferred = next, false, true
 	next.addRun(r)
 	if r.stopConfirmed {
 		r.stopConfirmed = false
--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/clock"
 )
 
 // mostRunning returns the highest number of runs at a time on the workers during the period.
@@ -201,3 +202,20 @@
 	})
 	is.Equal(w.startCount(), starts+1)
 }
+
+// A clock that shows less than the time since the last poll may be of a later incarnation.
+func TestClockReadingsOfALaterIncarnation(t *testing.T) {
+	is := is.New(t)
+	m := clock.NewManual(time.Unix(1_700_000_000, 0))
+	w := newWorker(&apiv1.PoolWorker{Id: "w1"})
+	w.answeredPoll = m.Read()
+	is.True(!w.hasAnswered(1e6, m.Read())) // it has never answered
+	w.synced = true
+	is.True(w.hasAnswered(1e6, m.Read()))
+	m.Advance(time.Second)
+	is.True(!w.hasAnswered(1000, m.Read()))
+	is.True(!w.hasAnswered(1020, m.Read())) // a clock may run faster than ours by its lowest rate
+	is.True(w.hasAnswered(1050, m.Read()))
+	m.Suspend(time.Minute)
+	is.True(!w.hasAnswered(1050, m.Read()))
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -26,7 +26,7 @@
 		return nil, false
 	}
 	w.observeClock(resp.ClockMs, now)
-	w.reportedAt = now
+	w.reportedAt, w.answeredPoll = now, w.lastPoll
 	w.observeResponse(now)
 	var ends []EndedRun
 	listed := make(map[runKey]bool, len(resp.Active)+len(resp.Ended))
@@ -111,10 +111,10 @@
 	if r == nil {
 		r = p.adoptRun(w, key)
 	}
-	if r.transferred && !r.listed {
+	if r.transferred && !r.located {
 		p.d.Logger.Info("run executed by the next incarnation", logRun(r))
 	}
-	r.listed = true
+	r.located = true
 	if r.phase == phaseStarting {
 		p.confirmStart(r, sentAt)
 		p.d.Logger.Info("run started", logRun(r), "seen", "in the worker's report")
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -26,7 +26,7 @@
 	attemptSent   time.Time // when the latest start request was sent
 	sent          bool      // a start request was sent, or the worker reported the run
 	unanswered    bool      // a start request got no response and may be executed later
-	listed        bool      // the worker's incarnation has listed it
+	located       bool      // the worker's incarnation has executed it, not a later one
 	transferred   bool      // from the incarnation that it was started for to a later one
 	clockBefore   int64     // reading of the worker's clock known when the latest start request was sent
 	risk          risk      // of its unit when it was started
@@ -41,10 +41,9 @@
 func (r *run) isLongRunning() bool { return r.task != nil && r.task.unit.spec.GetLongRunning() }
 
 // mayBeOfLaterIncarnation reports whether a later incarnation than the run's worker may have
-// executed its start or may still do so: the worker has not listed the run, or a request got no
-// response.
+// executed its start or may still do so.
 func (r *run) mayBeOfLaterIncarnation() bool {
-	return r.sent && r.task != nil && (!r.listed || r.unanswered)
+	return r.sent && r.task != nil && (!r.located || r.unanswered)
 }
 
 // runKey identifies a run among those of a worker.
--- a/internal/dispatch/start_stop.go
+++ b/internal/dispatch/start_stop.go
@@ -149,6 +149,7 @@
 	}
 	if accepted {
 		if !r.transferred { // otherwise it may be of the incarnation before
+			r.located = r.located || w.hasAnswered(resp.ClockMs, p.d.Clock.Read())
 			w.observeClock(resp.ClockMs, now)
 			w.observeResponse(now)
 		}
@@ -163,6 +164,9 @@
 		}
 		return true
 	}
+	if isUnanswered(err) && (attempt > 1 || r.phase != phaseActive) { // else the worker has listed its effect
+		r.unanswered = true
+	}
 	if r.phase != phaseStarting {
 		return true
 	}
@@ -190,12 +194,8 @@
 		}
 	case errors.Is(err, ErrConnectionLost):
 		// The worker may have ended. Another attempt could start the run in its next incarnation.
-		r.unanswered = true
-	case err != nil:
-		r.unanswered = r.unanswered || !errors.Is(err, ErrNoListener) && !errors.Is(err, ErrOtherIncarnation)
-		if again {
-			return false
-		}
+	case err != nil && again:
+		return false
 	}
 	if err != nil {
 		p.d.counters.startsUnanswered.Inc(1)
@@ -207,6 +207,11 @@
 	return true
 }
 
+// isUnanswered reports whether a request that failed may have been executed or may still be.
+func isUnanswered(err error) bool {
+	return err != nil && !errors.Is(err, ErrOtherIncarnation) && !errors.Is(err, ErrNoListener) && !errors.Is(err, ErrNotSent)
+}
+
 // confirmStart records that the worker runs the run, as known at the time. Only now has its
 // job begun: a start that was decided on may be refused or never arrive.
 func (p *pool) confirmStart(r *run, at time.Time) {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/clock"
 )
 
 // worker is one incarnation of a worker of a pool.
@@ -42,13 +43,15 @@
 	clockAt     time.Time
 	leaseEnd    time.Time // when all leases granted by any leader have expired
 	reportedAt  time.Time // time of the last Hold response
-	heardAt     time.Time // time of the last response
-	refusedAt   time.Time // time of the first call since then that found no listener; zero: none
-	suspected   bool      // it has probably crashed since then
-	failedCalls int       // calls refused for lack of a listener since the last success; at least 1 after any failed Hold call
-	health      health
-	cancel      context.CancelFunc // ends the hold loop
-	leaving     bool               // its record is marked as gone
+	// lastPoll and answeredPoll are when the last Hold request was sent, and the last one that was answered.
+	lastPoll, answeredPoll clock.Reading
+	heardAt                time.Time // time of the last response
+	refusedAt              time.Time // time of the first call since then that found no listener; zero: none
+	suspected              bool      // it has probably crashed since then
+	failedCalls            int       // calls refused for lack of a listener since the last success; at least 1 after any failed Hold call
+	health                 health
+	cancel                 context.CancelFunc // ends the hold loop
+	leaving                bool               // its record is marked as gone
 }
 
 // newWorker returns a worker without runs.
