dispatch: polls acknowledge only what is new, and ask for a report first only then

Cause: each poll carried the cursor, also when the worker had forgotten those ends long ago; one that was executed late by the next incarnation made that forget its own. And a worker whose report was older than 0.1 s, because polls wait for slots, was asked without a wait each time.

Change: the cursor is sent until an answered poll has carried it.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -15,9 +15,9 @@
 	// holdSlack is how much longer than the expected end of a run a poll waits, so that
 	// most ends arrive within it.
 	holdSlack = 300 * time.Millisecond
-	// maxAckDelay is how long after its last report a worker is sent acknowledgements. Later it may be
-	// another incarnation, and is asked for a report first.
-	maxAckDelay = 100 * time.Millisecond
+	// maxAckDelay is how long after its last report a worker is sent acknowledgements without another
+	// report. It is at most holdRetry: a start that is answered after a failed poll resets failedCalls.
+	maxAckDelay = holdRetry
 	// noListenerCallLimit is the number of consecutive calls that find no listener at the
 	// worker's address after which it has probably crashed. One that has never answered is removed.
 	noListenerCallLimit = 2
@@ -61,14 +61,42 @@
 	}
 	defer p.d.holdSlots.release()
 	sentAt = time.Now()
-	req := p.nextHoldRequest(w, sentAt)
+	if p.needsReportBeforeAck(w, sentAt) {
+		resp, err = p.callHold(ctx, w, HoldRequest{Token: p.d.term})
+		if err != nil || resp.Fenced || p.isReplaced(w, resp) {
+			return resp, sentAt, err
+		}
+		sentAt = time.Now()
+	}
+	resp, err = p.callHold(ctx, w, p.nextHoldRequest(w, sentAt))
+	return resp, sentAt, err
+}
+
+// callHold makes one Hold call.
+func (p *pool) callHold(ctx context.Context, w *worker, req HoldRequest) (HoldResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.WaitMs)*time.Millisecond+p.holdTimeoutMargin())
 	defer cancel()
 	p.d.counters.holds.Inc(1)
-	if resp, err = p.d.WorkerClient.Hold(ctx, p.recordOf(w), req); err != nil {
+	resp, err := p.d.WorkerClient.Hold(ctx, p.recordOf(w), req)
+	if err != nil {
 		p.d.counters.holdsFailed.Inc(1)
 	}
-	return resp, sentAt, err
+	return resp, err
+}
+
+// isReplaced reports whether another incarnation than the worker has answered.
+func (p *pool) isReplaced(w *worker, resp HoldResponse) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return w.isOtherIncarnation(resp)
+}
+
+// needsReportBeforeAck reports whether there are ends to acknowledge to a worker that has not just
+// reported. It may be another incarnation by now, which would forget its own ends up to the cursor, unseen.
+func (p *pool) needsReportBeforeAck(w *worker, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return w.failedCalls == 0 && w.ackCursor > w.ackedCursor && now.Sub(w.reportedAt) > maxAckDelay
 }
 
 // holdTimeoutMargin returns how much longer than its long poll a Hold call may take.
@@ -83,11 +111,10 @@
 	defer p.mu.Unlock()
 	w.lastPoll = p.d.Clock.Read()
 	req := HoldRequest{Token: p.d.term}
-	// The next incarnation would forget its own ends up to the cursor, unseen.
-	acknowledges := w.failedCalls == 0 && now.Sub(w.reportedAt) <= maxAckDelay
-	if acknowledges {
+	if w.failedCalls == 0 && w.ackCursor > w.ackedCursor {
 		req.Cursor = w.ackCursor
 	}
+	w.sentCursor = req.Cursor
 	// The lease of a worker that did not respond is not renewed: a request without
 	// a response may be executed late, and the end of the lease would never be
 	// certain.
@@ -96,7 +123,7 @@
 			w.recordLeaseGranted(now, remaining)
 		}
 	}
-	if w.synced && !w.endsPending && !p.hasStoppingRun(w) && acknowledges {
+	if w.synced && !w.endsPending && !p.hasStoppingRun(w) && w.failedCalls == 0 {
 		req.WaitMs = p.holdWait(w, now).Milliseconds()
 	}
 	return req
