dispatch: a young incarnation's lease at a takeover is counted on our steady clock; late starts in their own file

Cause: the end of the lease of an inherited incarnation was taken from its birth as a time of day, so that a step of our clock would have ended it early. Found by reading. Now the wall clock only tells its age, which can extend the wait and not shorten it.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -98,7 +98,8 @@
 	}
 	p.unreconciled[record.GetId()] = oldLeaseEnd
 	w.leaseEnd = oldLeaseEnd
-	w.recordLeaseGranted(time.UnixMilli(record.GetBornUnixMs()), p.d.Timing.leaseAfterBirth())
+	age := time.Duration(p.d.nowUnixMs()-record.GetBornUnixMs()) * time.Millisecond
+	w.recordLeaseGranted(time.Now(), min(p.d.Timing.leaseAfterBirth()-age, p.d.Timing.leaseAfterBirth()))
 }
 
 // addJob adds a job, unless the pool has it. If inherited, tasks that the
@@ -252,13 +253,7 @@
 		p.recordCrash(w, crashed, ended)
 	case cause == lossSilent:
 		w.silent = true
-		for _, r := range runs {
-			if r.mayBeOfLaterIncarnation() {
-				p.delayRestart(r, r.attemptSent)
-				lateStarts = append(lateStarts, r)
-			}
-		}
-		p.silentLosses.add(w, crashed, lateStarts, now)
+		p.silentLosses.add(w, crashed, append(lateStarts, p.delayRestarts(runs)...), now)
 	}
 	p.markReconciled(w.id)
 	p.d.forgetWorker(w.storedRecord())
