test: a soak fault of workers that crash in series with requests in flight

Change: a third list of faults with its own seed, so that those of the fixed seeds keep their order. One worker or half of them crash on the receipt of starts and stops and up to 30 ms after a poll's answer, again and again, and are back at once under their id and address. A late start is executed by that incarnation or by none. Not tried, as before: a late start that reaches an incarnation born after a stop of its run was confirmed. A worker crashes only while no task there has lost a run to a crash, so that harmless jobs are not given up; no check changed.

--- a/test/failure/soak_cell_test.go
+++ b/test/failure/soak_cell_test.go
@@ -48,7 +48,9 @@
 	addressOctet   int          // second octet of the cell's loopback addresses, which depends on the seed
 	diskFaultLock  sync.Mutex   // serializes the choice of a control process whose disk is damaged
 	deadlyShare    atomic.Int64 // of the submitted jobs, in thousandths, that contain a deadly task
-	crashedOnStart sync.Map     // tasks a start of which has crashed a worker before it was executed
+	crashedUnder   sync.Map     // tasks under which a worker has crashed
+	rebirthCounts  soakRebirthCounts
+	crashedOnStart sync.Map // tasks a start of which has crashed a worker before it was executed
 	// excusedOverruns counts starts beyond a capacity that has shrunk, by a leader that was
 	// not in touch.
 	excusedOverruns atomic.Int64
--- a/test/failure/soak_crash_test.go
+++ b/test/failure/soak_crash_test.go
@@ -15,6 +15,9 @@
 	downtime time.Duration // until the next incarnation begins
 	silent   bool          // calls get no response meanwhile, instead of finding no listener
 	newID    bool          // the next incarnation has another id at the same address
+	// keepsConnections leaves the open connections to an incarnation that begins at once, as if
+	// requests that are on their way had been sent on new ones.
+	keepsConnections bool
 }
 
 const (
@@ -44,9 +47,14 @@
 	for task := range w.runs {
 		w.checker.workerCrashed(task)
 	}
+	for _, task := range w.unacknowledgedTasks() {
+		w.cell.crashedUnder.Store(task, true)
+	}
 	w.endIncarnation()
 	if how.downtime == 0 {
-		w.link.CloseConnections()
+		if !how.keepsConnections {
+			w.link.CloseConnections()
+		}
 		w.beginIncarnation()
 		return
 	}
--- a/test/failure/soak_faults_test.go
+++ b/test/failure/soak_faults_test.go
@@ -28,6 +28,8 @@
 	// the starts of two faults.
 	soakMeanFaultInterval       = 700 * time.Millisecond
 	soakMeanWorkerFaultInterval = time.Second
+	// soakRebirthSeed makes the seed of soakRebirthFaults differ from those of the other faults.
+	soakRebirthSeed = 1 << 40
 )
 
 var soakFaults = []soakFault{
@@ -94,6 +96,9 @@
 	var group sync.WaitGroup
 	group.Go(func() { c.injectFaultsOf(ctx, soakFaults, soakMeanFaultInterval, seed, log) })
 	group.Go(func() { c.injectFaultsOf(ctx, soakWorkerFaults, soakMeanWorkerFaultInterval, ^seed, log) })
+	group.Go(func() {
+		c.injectFaultsOf(ctx, soakRebirthFaults, soakMeanRebirthFaultInterval, seed^soakRebirthSeed, log)
+	})
 	group.Wait()
 }
 
--- a/test/failure/soak_test.go
+++ b/test/failure/soak_test.go
@@ -30,6 +30,8 @@
 	{2, "a damaged log and a lost disk"},
 	{3, "a damaged log while all control processes are killed"},
 	{5, "a damaged log while processes are paused"},
+	// Starts that the next incarnation executed were given up with the former one.
+	{1002, "workers crash in series with requests in flight"},
 }
 
 // TestSoak runs a cell of real processes under random faults and checks what callerCtx,
@@ -72,6 +74,7 @@
 	group.Wait()
 	t.Log(c.checker.summary())
 	t.Log(c.checker.deadlySummary())
+	t.Log(c.rebirthCounts.summary())
 	t.Logf("%d starts beyond a capacity that had shrunk by leaders not in touch", c.excusedOverruns.Load())
 	for _, violation := range c.checker.recordedViolations() {
 		t.Error(violation)
--- a/test/failure/soak_worker_test.go
+++ b/test/failure/soak_worker_test.go
@@ -50,6 +50,7 @@
 	lastHeartbeat     int64        // sequence of the last heartbeat
 	drainAckedAt      time.Time    // when a control process acknowledged the drain; zero: not yet
 	drainRequested    bool
+	rebirths          *soakRebirths
 	lateStartRate     float64 // fraction of the start requests that get no response and are processed late
 	failsAllRuns      bool    // every new run fails
 	crashesOnStart    bool    // the next start request crashes the worker, if none of its task has crashed one
@@ -156,16 +157,9 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
+	w.crashOnStart(request, r)
 	if w.random.Float64() < w.lateStartRate {
-		born := w.born
-		time.AfterFunc(time.Duration(w.random.Int63n(int64(soakMaxStartDelay))), func() {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			if w.born.Equal(born) && !w.down {
-				w.endFinishedRuns()
-				w.startRun(request, true)
-			}
-		})
+		w.startLater(request, time.Duration(w.random.Int63n(int64(soakMaxStartDelay))))
 		panic(http.ErrAbortHandler)
 	}
 	if reason := w.startRun(request, false); reason != "" {
@@ -178,6 +172,20 @@
 	writeSoakResponse(rw, http.StatusOK, map[string]any{"clock_ms": w.clockMs(), "born": w.born.UnixMilli()})
 }
 
+// startLater starts a run after the delay, unless the incarnation has ended by then. The caller
+// holds the lock.
+func (w *soakWorker) startLater(request soakRequest, delay time.Duration) {
+	born := w.born
+	time.AfterFunc(delay, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.born.Equal(born) && !w.down {
+			w.endFinishedRuns()
+			w.startRun(request, true)
+		}
+	})
+}
+
 // startRun starts a run and checks that it may start. It returns the reason of a
 // refusal, or "". The caller holds the lock.
 func (w *soakWorker) startRun(request soakRequest, late bool) (refusal string) {
@@ -230,6 +238,9 @@
 		return
 	}
 	defer w.mu.Unlock()
+	if w.crashOnReceipt(request.Task) {
+		w.cell.rebirthCounts.stops.Add(1)
+	}
 	if request.Token >= w.highestToken {
 		w.highestToken = request.Token
 		if current := w.runs[request.Task]; current != nil && current.run <= request.Run && !current.stopping {
@@ -279,4 +290,5 @@
 	writeSoakResponse(rw, http.StatusOK, map[string]any{
 		"clock_ms": w.clockMs(), "born": w.born.UnixMilli(), "active": active, "ended": ended,
 	})
+	w.crashAfterPoll()
 }
