--- a/internal/dispatch/incarnation_review_test.go
+++ b/internal/dispatch/incarnation_cases_test.go
@@ -91,10 +91,9 @@
 	return workers
 }
 
-// A worker takes the deadline also from a start that it rejects as old (PROTOCOL.md: "It is also taken
-// from a start that receives `old` or `room`"), and it applies to everything that runs there. So a late
-// start whose deadline is on the clock of the former incarnation, and which the next one rejects because
-// the leader has fenced it, gives all runs of the next incarnation the longest lease.
+// A worker takes the deadline also from a start that it rejects, and it applies to everything that runs
+// there. A late start, whose deadline was on the clock of the former incarnation, gave all runs of the
+// next one the longest lease, though that rejected it. They were started elsewhere too early.
 func TestRejectedLateStartProlongsTheLeaseOfTheNextIncarnation(t *testing.T) {
 	is := is.New(t)
 	const maxLease = 4 * time.Second
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -12,7 +12,7 @@
 	index      int
 	done       bool
 	run        *run           // current run; nil: none
-	fences     int            // number of its runs that are over and whose start requests no worker may execute any more
+	fences     int            // number of runs that are over and being stopped so that no worker executes their starts
 	failedRuns map[int64]bool // numbers of the runs that failed
 	checkpoint string
 	failedOn   map[string]bool // ids of workers on which it failed
