--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -65,7 +65,7 @@
 	p := &platformProcess{
 		connections: connections,
 		settings:    settings,
-		client:      platform.NewClient(settings.PolicyService, connections.IdleWorkers+connections.Policy),
+		client:      platform.NewClient(settings.PolicyService, connections.IdleWorkers+connections.Policy, registry),
 		logger:      logger.With("name", settings.Name),
 		registry:    registry,
 	}
--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -13,10 +13,19 @@
 	adviceDeferred, workersCrashed, jobsGivenUp                  metrics.Counter
 	holds, holdsFailed, startAttempts, stopAttempts              metrics.Counter
 	passes, passMicros                                           metrics.Counter
+	reportsBeforeAck                                             metrics.Counter   // polls asked for only to learn the worker's incarnation
+	workerConnections                                            metrics.Counter   // opened to workers
+	urgentFirstStarts, urgentFirstWaitMs                         metrics.Counter   // first starts sent of jobs of the highest priority, and their waits from acceptance
+	otherFirstStarts, otherFirstWaitMs                           metrics.Counter   // the same of other jobs
+	endCommits, endCommitMicros                                  metrics.Counter   // waits for the commit of reported ends
 	unitsWaiting, workersOnTrial                                 metrics.Gauge     // in the last pass
 	timeToFirstStart, startLatency, adviceLatency                metrics.Histogram // ms
 }
 
+// WorkerConnectionsMetric is the name of the counter of connections that a WorkerClient has opened
+// to workers.
+const WorkerConnectionsMetric = "dispatch.workers.connections"
+
 const (
 	histogramSamples = 512
 	histogramAlpha   = 0.015
@@ -41,6 +50,10 @@
 		holds:          counter("holds.sent"), holdsFailed: counter("holds.failed"),
 		startAttempts: counter("runs.start_attempts"), stopAttempts: counter("runs.stop_attempts"),
 		passes: counter("passes.run"), passMicros: counter("passes.us"),
+		reportsBeforeAck: counter("holds.before_ack"), workerConnections: metrics.GetOrRegisterCounter(WorkerConnectionsMetric, registry),
+		urgentFirstStarts: counter("first_starts.urgent"), urgentFirstWaitMs: counter("first_starts.urgent_wait_ms"),
+		otherFirstStarts: counter("first_starts.other"), otherFirstWaitMs: counter("first_starts.other_wait_ms"),
+		endCommits: counter("end_commits"), endCommitMicros: counter("end_commits.us"),
 		unitsWaiting:     metrics.GetOrRegisterGauge("dispatch.units.waiting", registry),
 		workersOnTrial:   metrics.GetOrRegisterGauge("dispatch.workers.on_trial", registry),
 		timeToFirstStart: histogram("wait_to_order_ms"), startLatency: histogram("start_ms"), adviceLatency: histogram("advice_ms"),
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -62,6 +62,7 @@
 	defer p.d.holdSlots.release()
 	sentAt = time.Now()
 	if p.needsReportBeforeAck(w, sentAt) {
+		p.d.counters.reportsBeforeAck.Inc(1)
 		resp, err = p.callHold(ctx, w, HoldRequest{Token: p.d.term})
 		if err != nil || resp.Fenced || p.isReplaced(w, resp) {
 			return resp, sentAt, err
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -16,6 +16,7 @@
 	units           []*unit // by occurrence, then step
 	unfinishedUnits int     // number of units with tasks that are not done
 	placed          bool    // this leader has decided to start some task or adopted its run
+	startSent       bool    // this leader has sent a start request of some task, or adopted its run
 	started         bool    // some task was started, by any leader
 	// objective is the time from acceptance, or from the due time of an
 	// occurrence, within which the job has its full value.
--- a/internal/dispatch/load_log.go
+++ b/internal/dispatch/load_log.go
@@ -15,7 +15,9 @@
 
 // logLoad logs, until the term ends, how often the leader has done each kind of work since
 // the last line, and the CPU time that it took. An overload that feeds itself shows as
-// attempts and failed polls that grow while the ends of runs don't.
+// attempts and failed polls that grow while the ends of runs don't. A leader that is short of
+// processor time shows as goroutines that wait to run, and as waits of urgent jobs for their first
+// start and of ends for their commit that grow together.
 func (d *Dispatcher) logLoad() {
 	logged := []struct {
 		key     string
@@ -33,11 +35,21 @@
 		{key: "advice", counter: d.counters.adviceRequests},
 		{key: "passes", counter: d.counters.passes},
 		{key: "pass_us", counter: d.counters.passMicros},
+		{key: "reports_before_ack", counter: d.counters.reportsBeforeAck},
+		{key: "connections", counter: d.counters.workerConnections},
+		{key: "urgent_first_starts", counter: d.counters.urgentFirstStarts},
+		{key: "urgent_first_wait_ms", counter: d.counters.urgentFirstWaitMs},
+		{key: "other_first_starts", counter: d.counters.otherFirstStarts},
+		{key: "other_first_wait_ms", counter: d.counters.otherFirstWaitMs},
+		{key: "end_commits", counter: d.counters.endCommits},
+		{key: "end_commit_us", counter: d.counters.endCommitMicros},
 	}
 	for i := range logged {
 		logged[i].last = logged[i].counter.Count()
 	}
 	lastCPU, lastTime := processmetrics.CPUSeconds(), time.Now()
+	var runtimeMeter processmetrics.RuntimeLoadMeter
+	runtimeMeter.Read()
 	for sleep(d.ctx, loadLogInterval) == nil {
 		cpu, now := processmetrics.CPUSeconds(), time.Now()
 		var work []any
@@ -46,7 +58,9 @@
 			work = append(work, logged[i].key, count-logged[i].last)
 			logged[i].last = count
 		}
+		runtimeLoad := runtimeMeter.Read()
 		d.Logger.Info("leader load", "cpu_ms", int64((cpu-lastCPU)*1000), "elapsed_ms", now.Sub(lastTime).Milliseconds(),
+			"gc_ms", runtimeLoad.GC.Milliseconds(), "runnable_p99_us", runtimeLoad.RunnableP99.Microseconds(),
 			"waiting_units", d.counters.unitsWaiting.Value(), slog.Group("work", work...))
 		lastCPU, lastTime = cpu, now
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -157,7 +157,7 @@
 		if t.run == nil && !t.done {
 			r.task, t.run = t, r
 			t.mayBeRunning = false
-			t.unit.job.placed = true
+			t.unit.job.placed, t.unit.job.startSent = true, true
 			p.markStarted(t.unit.job)
 			p.d.Logger.Info("run adopted", logRun(r))
 			return r
@@ -191,7 +191,11 @@
 // applies them. It reports whether they were committed. If not, the worker lists them again.
 func (p *pool) commitEnds(ctx context.Context, w *worker, ends []EndedRun) bool {
 	command := p.encodeEnds(w, ends)
-	if err := p.d.ends.commit(ctx, command); err != nil {
+	begin := time.Now()
+	err := p.d.ends.commit(ctx, command)
+	p.d.counters.endCommits.Inc(1)
+	p.d.counters.endCommitMicros.Inc(time.Since(begin).Microseconds())
+	if err != nil {
 		if ctx.Err() == nil {
 			p.d.Logger.Warn("ends of runs not committed", "worker", w.id, "ends", len(ends), "error", err)
 		}
--- a/internal/dispatch/start_stop.go
+++ b/internal/dispatch/start_stop.go
@@ -111,6 +111,7 @@
 	}
 	if attempt == 1 {
 		r.startSent = now
+		p.countFirstStart(r.task.unit.job, now)
 	}
 	r.worker.recordLeaseGranted(now, remaining)
 	r.sent, r.attemptSent, r.clockBefore = true, now, r.worker.clockMs
@@ -120,6 +121,21 @@
 	}, r.worker.record, true
 }
 
+// countFirstStart counts the first start request that is sent of a job, with its wait since the
+// job was accepted.
+func (p *pool) countFirstStart(j *job, now time.Time) {
+	if j.startSent {
+		return
+	}
+	j.startSent = true
+	starts, waits := p.d.counters.otherFirstStarts, p.d.counters.otherFirstWaitMs
+	if j.queue.GetPriority() == 0 {
+		starts, waits = p.d.counters.urgentFirstStarts, p.d.counters.urgentFirstWaitMs
+	}
+	starts.Inc(1)
+	waits.Inc(now.Sub(j.accepted).Milliseconds())
+}
+
 // discardUnsentRun ends a run whose start request was not sent in this attempt.
 // Requests of earlier attempts may still be executed, so the run is discarded
 // only if there were none, and stopped otherwise.
