--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -88,13 +88,6 @@
 	// proposeTimeout bounds one proposal. After a timeout it is unknown whether
 	// the command was committed.
 	proposeTimeout = 4 * time.Second
-	// minPassDelay batches events that arrive together into one scheduling pass.
-	minPassDelay = time.Millisecond
-	// passRestFactor is the delay between a wakeup and its scheduling pass, as a
-	// multiple of the last pass's duration, up to maxPassDelay. Short passes thus
-	// leave most of the CPU to requests and reports.
-	passRestFactor = 4
-	maxPassDelay   = 25 * time.Millisecond
 	// idlePassInterval is the time between scheduling passes without events, and
 	// the backoff of a start that was not sent or was refused.
 	idlePassInterval = 100 * time.Millisecond
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -54,25 +54,25 @@
 
 // run executes scheduling passes until the term ends.
 func (p *pool) run() {
-	ticker := time.NewTicker(idlePassInterval)
-	defer ticker.Stop()
-	passDelay := minPassDelay
+	idle := time.NewTimer(idlePassInterval)
+	defer idle.Stop()
+	var last passTimes
 	for {
 		select {
 		case <-p.d.ctx.Done():
 			return
 		case <-p.wakeup:
-			if sleep(p.d.ctx, passDelay) != nil {
+			if sleep(p.d.ctx, last.delay(time.Now())) != nil {
 				return
 			}
-		case <-ticker.C:
+		case <-idle.C:
 		}
-		passStart := time.Now()
+		last.begin = time.Now()
 		p.d.contain("a scheduling pass", p.service, p.runPass)
-		passLength := time.Since(passStart)
+		last.end = time.Now()
 		p.d.counters.passes.Inc(1)
-		p.d.counters.passMicros.Inc(passLength.Microseconds())
-		passDelay = min(max(minPassDelay, passRestFactor*passLength), maxPassDelay)
+		p.d.counters.passMicros.Inc(last.end.Sub(last.begin).Microseconds())
+		idle.Reset(idlePassInterval)
 	}
 }
 
