dispatch: one log line for all starts, and one for all ends, of a tenth of a second

Change: starts, adoptions and ends are collected for 100 ms and written as one line of each kind, with a short text for each run that has the task's name, so that an id still leads to all its lines; explain shows only the entries that name its ID. A line has 400 runs at most and counts the others, so the volume is bounded: 12,000 runs a second. What tells incarnations apart (readings of the clock, births) is written only where the response does not show which one has executed the start. Whether a key is secret is remembered.

Tests: TestLinesOfRunsAreBounded (before: "not true: lines <= 2*intervals"), TestLineOfRunsCountsWhatItLeavesOut, TestExplain.

--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -113,13 +113,13 @@
 	for _, column := range []string{"time", "level", "msg", "name"} {
 		delete(fields, column)
 	}
-	event.details = flatten("", fields)
+	event.details = flatten("", id, fields)
 	return event, true
 }
 
 // flatten formats fields as key=value, sorted by key. Keys of a group get the group's
-// name and a dot as a prefix.
-func flatten(prefix string, fields map[string]any) string {
+// name and a dot as a prefix. Of a list, only the elements that contain the ID are shown, if any do.
+func flatten(prefix, id string, fields map[string]any) string {
 	keys := make([]string, 0, len(fields))
 	for key := range fields {
 		keys = append(keys, key)
@@ -128,14 +128,30 @@
 	var parts []string
 	for _, key := range keys {
 		if group, ok := fields[key].(map[string]any); ok {
-			parts = append(parts, flatten(prefix+key+".", group))
+			parts = append(parts, flatten(prefix+key+".", id, group))
 			continue
 		}
-		parts = append(parts, fmt.Sprintf("%s%s=%v", prefix, key, fields[key]))
+		parts = append(parts, fmt.Sprintf("%s%s=%v", prefix, key, elementsAbout(id, fields[key])))
 	}
 	return strings.Join(parts, " ")
 }
 
+// elementsAbout returns the elements of a list that contain the ID, or the value itself if it is no
+// list or none does.
+func elementsAbout(id string, value any) any {
+	list, _ := value.([]any)
+	var about []any
+	for _, element := range list {
+		if strings.Contains(fmt.Sprint(element), id) {
+			about = append(about, element)
+		}
+	}
+	if len(about) == 0 {
+		return value
+	}
+	return about
+}
+
 // writeEvents writes the events in the order of their times, from the first that
 // contains the ID.
 func writeEvents(out io.Writer, id string, events []logEvent) error {
--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -25,6 +25,7 @@
 	t      testing.TB
 	table  *jobs.Table
 	timing Timing
+	logger *slog.Logger // of leaders that start later
 	// callLimits are those of leaders that start later.
 	callLimits CallLimits
 
@@ -45,6 +46,7 @@
 	c := &testCluster{
 		t: t, table: jobs.New(), workers: make(map[string]*fakeWorker), steps: make(map[string][]*apiv1.JobStep),
 		timing: Timing{MaxLease: 1200 * time.Millisecond, JobStatusRetention: time.Minute},
+		logger: slog.New(slog.DiscardHandler),
 	}
 	for _, one := range workers {
 		c.workers[one.record.GetId()] = one
@@ -61,7 +63,7 @@
 	c.mu.Unlock()
 	d := New(context.Background(), Config{
 		Log: clusterLog{c}, Table: c.table, WorkerClient: clusterWorkerClient{c}, Advisor: clusterAdvisor{c},
-		Clock: clock.System{}, Logger: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(), Timing: c.timing,
+		Clock: clock.System{}, Logger: c.logger, Metrics: metrics.NewRegistry(), Timing: c.timing,
 		CallLimits: c.callLimits,
 	}, term)
 	done := make(chan struct{})
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -28,6 +28,7 @@
 	orderSlots  *callSlots
 	stopSlots   *callSlots // taken before one of orderSlots
 	cutPasses   cutPasses
+	runLog      *runLog
 	workerCount atomic.Int64 // workers of all pools
 
 	ctx        context.Context //nolint:containedctx // ends with the term
@@ -57,6 +58,7 @@
 		pools:       make(map[string]*pool),
 	}
 	d.Logger = config.Logger.With("term", term)
+	d.runLog = &runLog{logger: d.Logger}
 	d.ends = &endBatcher{d: d}
 	d.ctx, d.cancel = context.WithCancel(ctx)
 	return d
@@ -73,11 +75,13 @@
 		d.spawnClosed = true
 		d.spawnMu.Unlock()
 		_ = d.goroutines.Wait()
+		d.runLog.flush()
 	}()
 	if err := d.takeOver(); err != nil {
 		return err
 	}
 	d.spawn(d.logLoad)
+	d.spawn(d.logRuns)
 	for {
 		if err := sleep(d.ctx, leaderLeaseRenewInterval); err != nil {
 			return nil
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -14,7 +14,8 @@
 		t.unit.observeRunNumber(end.Run)
 	}
 	now := time.Now()
-	p.logRunEnd(w, end)
+	p.countRunEnd(end)
+	p.logRunEnded(w, end)
 	switch end.Outcome {
 	case apiv1.RunOutcome_RUN_OUTCOME_DONE:
 		w.health.recordSuccess()
@@ -42,8 +43,8 @@
 	}
 }
 
-// logRunEnd logs and counts the end of a run.
-func (p *pool) logRunEnd(w *worker, end EndedRun) {
+// countRunEnd counts the end of a run.
+func (p *pool) countRunEnd(end EndedRun) {
 	switch end.Outcome {
 	case apiv1.RunOutcome_RUN_OUTCOME_DONE:
 		p.d.counters.endsDone.Inc(1)
@@ -52,8 +53,6 @@
 	default:
 		p.d.counters.endsOther.Inc(1)
 	}
-	p.d.Logger.Info("run ended", "task", end.Task, "number", end.Run, "worker", w.id, "born", w.record.GetBornUnixMs(),
-		"outcome", runOutcomeNames[end.Outcome], "saved", end.Checkpoint != "")
 }
 
 // runOutcomeNames holds the names of the outcomes in the log.
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -119,7 +119,7 @@
 	r.located, r.absent = true, false
 	if r.phase == phaseStarting {
 		p.confirmStart(r, sentAt)
-		p.d.Logger.Info("run started", logRun(r), "seen", "in the worker's report")
+		p.logRunListed(runStarted, r)
 	}
 	if r.task != nil && active.Checkpoint != "" {
 		r.task.saveCheckpoint(active.Checkpoint)
@@ -159,7 +159,7 @@
 			t.mayBeRunning = false
 			t.unit.job.placed, t.unit.job.startSent = true, true
 			p.markStarted(t.unit.job)
-			p.d.Logger.Info("run adopted", logRun(r))
+			p.logRunListed(runAdopted, r)
 			return r
 		}
 	} else {
--- a/internal/dispatch/start_stop.go
+++ b/internal/dispatch/start_stop.go
@@ -178,8 +178,7 @@
 		if r.phase == phaseStarting {
 			p.confirmStart(r, now)
 			p.d.counters.startLatency.Update(now.Sub(r.decidedAt).Milliseconds())
-			p.d.Logger.Info("run started", logRun(r), "tries", attempt, "answer_ms", now.Sub(sentAt).Milliseconds(),
-				"clock_ms", resp.ClockMs, "clock_before_ms", r.clockBefore)
+			p.logRunStarted(r, attempt, now.Sub(sentAt), resp.ClockMs)
 		}
 		return true
 	}
--- a/internal/logging/logger.go
+++ b/internal/logging/logger.go
@@ -4,6 +4,7 @@
 	"io"
 	"log/slog"
 	"strings"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 )
@@ -48,12 +49,28 @@
 // redactAttribute redacts secrets that are logged by mistake, and reduces errors to
 // their text, without stack traces.
 func redactAttribute(_ []string, attribute slog.Attr) slog.Attr {
-	key := strings.ReplaceAll(strings.ToLower(attribute.Key), "_", "-")
-	if secretKeys[key] {
+	if isSecret(attribute.Key) {
 		return slog.String(attribute.Key, redacted)
 	}
+	if attribute.Value.Kind() != slog.KindAny { // no error, and Any would allocate
+		return attribute
+	}
 	if err, ok := attribute.Value.Any().(error); ok {
 		return slog.String(attribute.Key, err.Error())
 	}
 	return attribute
 }
+
+// secretsByKey remembers for each key that was logged whether it is one of secretKeys.
+var secretsByKey sync.Map
+
+// isSecret reports whether the key is one of secretKeys, in any case and with hyphens or underscores.
+// Keys are constants of the code, so few are remembered.
+func isSecret(key string) bool {
+	if known, ok := secretsByKey.Load(key); ok {
+		return known.(bool)
+	}
+	secret := secretKeys[strings.ReplaceAll(strings.ToLower(key), "_", "-")]
+	secretsByKey.Store(key, secret)
+	return secret
+}
