dispatch: a poll waits also while a run is being stopped

What callers saw: starts and ends came late on a leader that polled its workers 2,000 to 5,000 times a second, at 1,100 workers and some 1,500 ends a second.

Cause: a worker with a run that is being stopped was polled without a wait, as often as it answered, until the run's end was listed, which takes up to the platform's stop time (0.4 s on the largest deployment). With gangs and preemption some 65 runs are stopped a second, so at any time some 25 workers were polled in a loop.

Change: the poll waits as always if the worker has executed the run, since its end ends the poll. Only a run that the worker may never have had needs a report that is asked for after its stop was confirmed; until the confirmation such polls wait 50 ms.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -12,6 +12,9 @@
 	// minBusyHoldWait is the shortest long poll to a worker with runs; shorter ones would
 	// cost more than an answer that comes earlier is worth.
 	minBusyHoldWait = 700 * time.Millisecond
+	// unconfirmedStopWait is the long poll to a worker that has not confirmed a stop yet. It is several
+	// round trips between regions.
+	unconfirmedStopWait = 50 * time.Millisecond
 	// holdSlack is how much longer than the expected end of a run a poll waits, so that
 	// most ends arrive within it.
 	holdSlack = 300 * time.Millisecond
@@ -124,7 +127,7 @@
 			w.recordLeaseGranted(now, remaining)
 		}
 	}
-	if w.synced && !w.endsPending && !p.hasStoppingRun(w) && w.failedCalls == 0 {
+	if w.synced && !w.endsPending && w.failedCalls == 0 {
 		req.WaitMs = p.holdWait(w, now).Milliseconds()
 	}
 	return req
@@ -143,18 +146,27 @@
 	if workers := p.d.workerCount.Load(); workers > p.d.holdSlots.limit {
 		wait = wait * time.Duration(p.d.holdSlots.limit) / time.Duration(workers)
 	}
-	return wait
+	return min(wait, w.stopWait())
 }
 
-// hasStoppingRun reports whether a run is being stopped, so that the next report
-// is needed without a long poll.
-func (p *pool) hasStoppingRun(w *worker) bool {
+// stopWait returns how long a poll may wait for the sake of the runs that are being stopped. The end
+// of one that the worker has executed ends the poll. Of any other the worker will list no end; it is certainly
+// over if a report that is asked for after the stop was confirmed lacks it.
+//
+// Load pattern: many runs are preempted or belong to gangs that are stopped. Polls without a wait follow
+// each other as fast as the worker answers, for as long as it takes to stop a run.
+func (w *worker) stopWait() time.Duration {
+	wait := maxHoldWait
 	for _, r := range w.runs {
-		if r.phase == phaseStopping {
-			return true
+		if r.phase != phaseStopping || r.located {
+			continue
 		}
+		if r.stopConfirmed {
+			return 0
+		}
+		wait = unconfirmedStopWait
 	}
-	return false
+	return wait
 }
 
 // handleHoldError handles a failed Hold call and reports whether to continue. It
--- a/internal/dispatch/incarnation_cases_test.go
+++ b/internal/dispatch/incarnation_cases_test.go
@@ -76,7 +76,7 @@
 		defer p.mu.Unlock()
 		known := p.workers[w.record.GetId()]
 		return known != nil && known.record.GetBornUnixMs() == born && known.synced && known.stored == nil &&
-			known.predecessor == nil && !p.hasStoppingRun(known)
+			known.predecessor == nil && !hasStoppingRun(known)
 	})
 }
 
@@ -666,3 +666,13 @@
 		is.Equal(w.riskyRuns, 0)
 	}
 }
+
+// hasStoppingRun reports whether a run of the worker is being stopped.
+func hasStoppingRun(w *worker) bool {
+	for _, r := range w.runs {
+		if r.phase == phaseStopping {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/dispatch/start_stop_test.go
+++ b/internal/dispatch/start_stop_test.go
@@ -11,6 +11,8 @@
 const (
 	done   = apiv1.RunOutcome_RUN_OUTCOME_DONE
 	failed = apiv1.RunOutcome_RUN_OUTCOME_FAILED
+
+	stopped = apiv1.RunOutcome_RUN_OUTCOME_STOPPED
 )
 
 func TestJobRunsToCompletion(t *testing.T) {
