--- a/internal/connlimit/plan.go
+++ b/internal/connlimit/plan.go
@@ -18,14 +18,15 @@
 const reservedDescriptors = 128
 
 // Weights of the kinds, in sixteenths of what the limit leaves. A leader holds one long
-// poll to each worker and keeps about as many connections for starts and stops; the
-// workers' reports come in over one connection each, spread over the control processes.
+// poll to each worker and keeps as many idle connections for starts and stops: with fewer, the one that is
+// needed next is always the one that was closed last. The workers' reports come in over
+// one connection each, spread over three control processes or more.
 const (
 	weightTotal       = 16
 	weightHolds       = 5
-	weightIdleWorkers = 4
+	weightIdleWorkers = 5
 	weightOrders      = 1
-	weightReports     = 3
+	weightReports     = 2
 	weightInternal    = 2
 	weightAdvisors    = 1
 
