dispatch: leases that a late start may prolong are waited for

What callers would see (TWICE): a task runs twice. A worker crashed with a start unanswered, its next incarnation got the start later and rejected it, but took its deadline, which lies on the clock of the former incarnation, for all that runs there. Cut off then, it ran on under the longest lease, while its tasks were started elsewhere after the granted ones.

Cause: the end of a worker's leases counted what this leader granted to the incarnation, not what a late request may add.

Change: while a start request to a former incarnation may still be executed (12 s after it was sent), the end of the leases is that time and the longest lease. It counts only if the worker goes silent then: the others' tasks don't wait.

--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -86,6 +86,9 @@
 		transferred++
 		w.removeRun(r)
 		p.transferRun(r, next)
+		if r.unanswered {
+			next.recordLateStart(r, p.d.Timing)
+		}
 	}
 	p.fenceLateStarts(lateStarts, next, now)
 	p.d.Logger.Info("worker replaced", "worker", next.id, "born", record.GetBornUnixMs(), "reported", reported,
--- a/internal/dispatch/incarnation_cases_test.go
+++ b/internal/dispatch/incarnation_cases_test.go
@@ -140,7 +140,7 @@
 		reborn.silent = true
 	})
 	most := 0
-	c.eventually("the lost task runs elsewhere", func() bool {
+	c.within(maxStartDelay+2*maxLease, "the lost task runs elsewhere", func() bool {
 		most = max(most, countRunning(append(workers, spare)))
 		return spare.startCount() == 1
 	})
--- a/internal/dispatch/late_starts.go
+++ b/internal/dispatch/late_starts.go
@@ -43,7 +43,11 @@
 	r.unanswered = true
 	w := p.workers[r.worker.id]
 	switch {
-	case w == nil || r.worker.runs[r.key()] == r:
+	case r.worker.runs[r.key()] == r:
+		if r.transferred {
+			r.worker.recordLateStart(r, p.d.Timing)
+		}
+	case w == nil:
 	case w == r.worker:
 		w.addLateStart(r, now)
 	default:
@@ -51,12 +55,23 @@
 	}
 }
 
+// recordLateStart records that the worker may yet execute a start request that was sent to a former incarnation.
+// It takes the deadline also from one that it rejects, for all that runs there; on its own clock the deadline of
+// the former one may be the longest lease away.
+func (w *worker) recordLateStart(r *run, timing Timing) {
+	w.recordLeaseGranted(r.attemptSent, maxStartDelay+timing.longestLease())
+}
+
 // fenceLateStarts stops, on a worker, runs that are over on a former incarnation of it, so that it
 // rejects their start requests. Their tasks are not started before it has confirmed that. The caller
 // holds the lock.
 func (p *pool) fenceLateStarts(runs []*run, w *worker, now time.Time) {
 	for _, r := range runs {
-		if now.Sub(r.attemptSent) > maxStartDelay || w.runs[r.key()] != nil {
+		if now.Sub(r.attemptSent) > maxStartDelay {
+			continue
+		}
+		w.recordLateStart(r, p.d.Timing)
+		if w.runs[r.key()] != nil {
 			continue
 		}
 		r.worker, r.phase, r.stopConfirmed = w, phaseActive, false
