dispatch: the next leader waits for a worker that was given up with uncertain runs

What callers would see (TWICE): a task runs twice after a change of leader.

Cause: a leader that gave up a silent worker delayed the restart of runs that the worker's next incarnation may have executed, but removed the worker from the table at once. The next leader knew neither the worker nor the delay.

Change: the record stays in the table until the last of these tasks may start again. A worker that comes back within that time is added by its first report after it.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -227,12 +227,15 @@
 	return errors.Wrap(err, "commit")
 }
 
-// forgetWorker removes the record of an ended incarnation from the replicated
-// table, so that later leaders don't wait for it. It repeats the command until it is
-// committed or the term ends: a worker that stayed in the table without being in its
-// pool would not be added again by its next report.
-func (d *Dispatcher) forgetWorker(record *apiv1.PoolWorker) {
+// forgetWorker removes the record of an ended incarnation from the replicated table after the delay, until
+// which a later leader has to wait for it. It repeats the command until it is committed or the term
+// ends: a worker that stayed in the table without being in its pool would not be added again by
+// its next report.
+func (d *Dispatcher) forgetWorker(record *apiv1.PoolWorker, delay time.Duration) {
 	d.spawn(func() {
+		if delay > 0 && sleep(d.ctx, delay) != nil {
+			return
+		}
 		incarnation := &apiv1.WorkerLife{Id: record.GetId(), BornUnixMs: record.GetBornUnixMs()}
 		for {
 			err := d.proposeCommand(&apiv1.JobsCommand{ForgetWorkers: []*apiv1.WorkerLife{incarnation}})
--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -71,7 +71,7 @@
 		next.stored = w.storedRecord()
 	}
 	if record.GetBornUnixMs() < next.storedRecord().GetBornUnixMs() { // the table takes no report of it before
-		p.d.forgetWorker(next.stored)
+		p.d.forgetWorker(next.stored, 0)
 	}
 	// A deadline on the clock of the former incarnation is far ahead on that of the next one.
 	next.recordLeaseGranted(now, p.d.Timing.longestLease())
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -245,6 +245,7 @@
 	p.detachWorker(w, reason, now)
 	runs := slices.Collect(maps.Values(w.runs))
 	crashed, lateStarts := p.crashUnder(w, w.possibleRuns(), ended), slices.Clone(w.lateStarts)
+	forgetAt := now
 	for _, r := range runs {
 		p.discardRun(r)
 	}
@@ -253,10 +254,16 @@
 		p.recordCrash(w, crashed, ended)
 	case cause == lossSilent:
 		w.silent = true
-		p.silentLosses.add(w, crashed, append(lateStarts, p.delayRestarts(runs)...), now)
+		uncertain := p.delayRestarts(runs)
+		for _, r := range uncertain {
+			if r.task != nil {
+				forgetAt = latestOf(forgetAt, r.task.notBefore)
+			}
+		}
+		p.silentLosses.add(w, crashed, append(lateStarts, uncertain...), now)
 	}
 	p.markReconciled(w.id)
-	p.d.forgetWorker(w.storedRecord())
+	p.d.forgetWorker(w.storedRecord(), forgetAt.Sub(now))
 	p.requestPass()
 }
 
