dispatch: a pass looks only at units and workers that can matter

What callers saw: urgent units wait longer for a pass the longer passes take, as a pass rests for twelve times its length.

Cause: each pass looked at every task of every open job to find units with a task to start, and three times at every worker for trials, also when no queue has crashed a worker.

Change: a unit knows how many of its tasks run; if those are all that are left it is passed over. Trial workers are only chosen if a queue is contained, a unit is on trial, or the last pass kept one.

The package's tests pass, TestRejectedLateStart... and TestDelayedRestart... among them.

--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -27,7 +27,7 @@
 	}
 	current := t.run != nil && t.run.number == end.Run && t.run.worker == w
 	if current {
-		t.run = nil
+		t.setRun(nil)
 	}
 	if end.Checkpoint != "" {
 		t.saveCheckpoint(end.Checkpoint)
@@ -83,7 +83,7 @@
 		return
 	}
 	if !u.spec.GetGang() {
-		t.done = true
+		t.setDone()
 		u.remaining--
 		u.forgetCrashes(t)
 		if t.run != nil {
@@ -91,7 +91,7 @@
 		}
 	} else {
 		for _, member := range u.tasks {
-			member.done = true
+			member.setDone()
 		}
 		u.remaining = 0
 		p.releaseReservation(u)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -34,6 +34,7 @@
 	// unreconciled holds the ids of workers on which the previous leader may have
 	// started runs that are not known yet, with the time when their leases expire.
 	unreconciled map[string]time.Time
+	trialsInUse bool // the last pass kept trial workers, or none has taken place
 	// containments holds the queues whose tasks have crashed workers, by name.
 	containments    map[string]*containment
 	crashedWorkers  crashedWorkers
@@ -48,6 +49,7 @@
 		d: d, service: service, wakeup: make(chan struct{}, 1),
 		workers: make(map[string]*worker), jobs: make(map[string]*job),
 		allowedShares: make(map[string]float64), unreconciled: make(map[string]time.Time),
+		trialsInUse:  true,
 		containments: make(map[string]*containment), crashedWorkers: make(crashedWorkers), silentLosses: make(silentLosses),
 	}
 }
@@ -298,7 +300,7 @@
 	if r.task.run != r {
 		return
 	}
-	r.task.run = nil
+	r.task.setRun(nil)
 	if r.task.unit.spec.GetGang() && !r.task.done {
 		p.stopUnit(r.task.unit, "a gang's member is gone")
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -157,7 +157,8 @@
 	w.recordLeaseGranted(r.confirmedAt, p.d.Timing.leaseAfterBirth()-time.Duration(w.clockMs)*time.Millisecond)
 	if t != nil {
 		if t.run == nil && !t.done {
-			r.task, t.run = t, r
+			r.task = t
+			t.setRun(r)
 			t.mayBeRunning = false
 			t.unit.job.placed, t.unit.job.startSent = true, true
 			p.markStarted(t.unit.job)
--- a/internal/dispatch/start_stop.go
+++ b/internal/dispatch/start_stop.go
@@ -31,7 +31,7 @@
 			size: u.size, phase: phaseStarting, decidedAt: now, startSent: now, ticket: assignment.ticket,
 			risk: u.risk,
 		}
-		assignment.task.run = r
+		assignment.task.setRun(r)
 		assignment.worker.addRun(r)
 		assignment.worker.health.recordPlacement()
 		p.d.counters.startsSent.Inc(1)
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -32,6 +32,30 @@
 	return taskName{job: t.unit.job.id, occurrence: t.unit.occurrence, step: t.unit.step, index: t.index}
 }
 
+// setRun sets the task's current run; nil: it has none.
+func (t *task) setRun(r *run) {
+	if !t.done {
+		t.unit.active += count(r != nil) - count(t.run != nil)
+	}
+	t.run = r
+}
+
+// setDone marks the task as done. A run that it still has goes on until it is stopped.
+func (t *task) setDone() {
+	if !t.done {
+		t.unit.active -= count(t.run != nil)
+	}
+	t.done = true
+}
+
+// count returns 1 if the condition holds.
+func count(condition bool) int {
+	if condition {
+		return 1
+	}
+	return 0
+}
+
 // pending reports whether the task can be started now.
 func (t *task) pending(now time.Time) bool {
 	return !t.done && t.run == nil && t.fences == 0 && !t.mayBeRunning && !t.crashUnrecorded && !now.Before(t.notBefore)
--- a/internal/dispatch/trial_workers.go
+++ b/internal/dispatch/trial_workers.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// busyTrialShare and quietTrialShare are the fractions of a pool's workers, with those that
@@ -46,7 +49,11 @@
 // chooseTrialWorkers chooses workers for the waiting units that need trials, and gives those
 // back that are not needed any more. The caller holds the lock.
 func (p *pool) chooseTrialWorkers(waiting []*unit, now time.Time) {
-	tw := p.newTrialWorkers(waiting, now)
+	quiet := p.quiet(waiting, now)
+	if !p.trialsInUse && len(p.containments) == 0 && !slices.ContainsFunc(waiting, func(u *unit) bool { return u.risk.onTrial() }) {
+		return
+	}
+	tw := p.newTrialWorkers(quiet, now)
 	var untested, culprits []*unit
 	for _, c := range p.containments {
 		c.waiting, c.culprits, c.trialLimit = 0, 0, tw.limit
@@ -78,10 +85,12 @@
 		}
 		tw.claimFor(u)
 	}
+	p.trialsInUse = false
 	for _, w := range p.workerList {
 		if w.trial && len(w.trialClaims) == 0 && now.Sub(w.trialUsedAt) > trialLinger && !w.hasTrialRun(now) {
 			w.trial = false
 		}
+		p.trialsInUse = p.trialsInUse || w.trial
 	}
 }
 
@@ -110,7 +119,7 @@
 }
 
 // newTrialWorkers counts what is on trial and computes the limits of a pass.
-func (p *pool) newTrialWorkers(waiting []*unit, now time.Time) *trialWorkers {
+func (p *pool) newTrialWorkers(quiet bool, now time.Time) *trialWorkers {
 	tw := &trialWorkers{p: p, now: now, gathering: make(map[*unit]bool)}
 	suspected := 0 // workers that have probably crashed, or have not reported since
 	for _, w := range p.workerList {
@@ -135,7 +144,7 @@
 	crashed += suspected
 	tw.used += crashed
 	trialShare, culpritShare := busyTrialShare, maxCulpritShare
-	if p.quiet(waiting, now) {
+	if quiet {
 		trialShare, culpritShare = quietTrialShare, quietCulpritShare
 	}
 	if float64(crashed) >= maxCrashedShare*float64(total) {
--- a/internal/dispatch/unit.go
+++ b/internal/dispatch/unit.go
@@ -16,6 +16,7 @@
 	size            resources
 	tasks           []*task
 	remaining       int // number of tasks not done
+	active          int // number of tasks not done that have a run
 	lastRunNumber   int64
 	advice          advice
 	reservation     *reservation // of a waiting gang; nil: none
@@ -69,6 +70,9 @@
 // hasPendingTask reports whether any task can be started now. Unlike pending, it
 // treats the members of a gang as single tasks.
 func (u *unit) hasPendingTask(now time.Time) bool {
+	if u.active == u.remaining {
+		return false
+	}
 	for _, t := range u.tasks {
 		if t.pending(now) {
 			return true
