--- a/test/failure/soak_worker_test.go
+++ b/test/failure/soak_worker_test.go
@@ -77,7 +77,7 @@
 	mux.HandleFunc("POST /api/run-start", w.serveStart)
 	mux.HandleFunc("POST /api/run-stop", w.serveStop)
 	mux.HandleFunc("POST /api/hold", w.serveHold)
-	w.server = &http.Server{Handler: mux}
+	w.server = &http.Server{Handler: mux, ConnContext: withSoakConnection}
 	go func() { _ = w.server.Serve(listener) }()
 	cell.t.Cleanup(func() {
 		link.Close()
@@ -260,6 +260,10 @@
 		return
 	}
 	defer w.mu.Unlock()
+	connection := r.Context().Value(soakConnectionKey{}).(*soakConnection)
+	if connection.endedWith(w.born) {
+		panic(http.ErrAbortHandler)
+	}
 	if request.Token < w.highestToken {
 		writeSoakResponse(rw, http.StatusConflict, map[string]any{"clock_ms": w.clockMs(), "reason": "fence", "born": w.born.UnixMilli()})
 		return
@@ -287,6 +291,7 @@
 	for _, one := range w.ended {
 		ended = append(ended, []any{one.sequence, one.task, one.run, one.result, ""})
 	}
+	connection.polled = w.born
 	writeSoakResponse(rw, http.StatusOK, map[string]any{
 		"clock_ms": w.clockMs(), "born": w.born.UnixMilli(), "active": active, "ended": ended,
 	})
