--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -34,7 +34,7 @@
 	// unreconciled holds the ids of workers on which the previous leader may have
 	// started runs that are not known yet, with the time when their leases expire.
 	unreconciled map[string]time.Time
-	trialsInUse bool // the last pass kept trial workers, or none has taken place
+	trialsInUse  bool // the last pass kept trial workers, or none has taken place
 	// containments holds the queues whose tasks have crashed workers, by name.
 	containments    map[string]*containment
 	crashedWorkers  crashedWorkers
