dispatch: no worker is asked for its runs before the takeover has loaded the jobs

What callers would see (TWICE, and work thrown away): after a change of leader a task is started elsewhere while its first run still runs, and runs are stopped without need.

Cause: a takeover added the previous leader's workers, each of which was polled at once, and then the unfinished jobs. A worker that answered in between listed runs of tasks that were not known: they were stopped, the worker counted as reconciled, and once all were, the tasks counted as certainly not running.

The log of a failing run: "run stopped" of busy.0.0.1 with "its task is unknown, done or has another run" at 17.656, "took over" at 17.657, "all workers of the predecessor are settled", and the isolated job on that worker.

Change: the polls begin once the jobs are loaded, also those of workers that report during the takeover.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -31,6 +31,10 @@
 	runLog      *runLog
 	workerCount atomic.Int64 // workers of all pools
 
+	// jobsLoaded is closed once the takeover has loaded the unfinished jobs. No worker is asked for its
+	// runs before: their tasks would not be known.
+	jobsLoaded chan struct{}
+
 	ctx        context.Context //nolint:containedctx // ends with the term
 	cancel     context.CancelFunc
 	goroutines errgroup.Group
@@ -56,6 +60,7 @@
 		orderSlots:  newCallSlots(config.CallLimits.Orders),
 		stopSlots:   newStopSlots(config.CallLimits.Orders),
 		pools:       make(map[string]*pool),
+		jobsLoaded:  make(chan struct{}),
 	}
 	d.Logger = config.Logger.With("term", term)
 	d.runLog = &runLog{logger: d.Logger}
@@ -130,6 +135,7 @@
 		d.poolLocked(p.GetJob().GetQueue().GetService()).addJob(newJob(p, now, nowUnixMs), true)
 	}
 	d.takenOver = true
+	close(d.jobsLoaded)
 	d.Logger.Info("took over", "workers", len(workers), "open_jobs", len(unfinished),
 		"wait_out_ms", time.Until(oldLeaseEnd).Milliseconds())
 	return nil
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -29,6 +29,11 @@
 // holdLoop calls Hold, which renews the worker's leases and returns its active
 // and ended runs, until the worker is removed or ctx ends.
 func (p *pool) holdLoop(ctx context.Context, w *worker) {
+	select {
+	case <-p.d.jobsLoaded:
+	case <-ctx.Done():
+		return
+	}
 	for proceed := true; proceed; {
 		completed := p.d.contain("a report of a worker", w.id, func() { proceed = p.holdOnce(ctx, w) })
 		if !completed && sleep(ctx, panicBackoff) != nil {
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -29,6 +30,32 @@
 	is.Equal(w1.startCount(), 2)
 }
 
+// A worker that answered the next leader before that had loaded the jobs was told to stop its runs, as their
+// tasks were not known, and the tasks were started elsewhere while they still ran.
+func TestRunsAreAdoptedWhileManyJobsAreLoaded(t *testing.T) {
+	is := is.New(t)
+	const waiting = 3000
+	w1, w2 := newFakeWorker("w1", 1000), newFakeWorker("w2", 1000)
+	c := newTestCluster(t, w1, w2)
+	c.timing.MaxLease = cutLease
+	_, stop := c.startLeader()
+	c.submit("job", stepOf(2, 1000))
+	c.eventually("the tasks run", func() bool { return countRunning([]*fakeWorker{w1, w2}) == 2 })
+	for i := range waiting {
+		c.submit(fmt.Sprintf("waiting-%d", i), stepOf(10, 1000))
+	}
+	stop()
+	d, _ := c.startLeader()
+	c.eventually("the workers are reconciled", func() bool {
+		p := d.pool(testService)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return len(p.unreconciled) == 0
+	})
+	is.Equal(countRunsOf([]*fakeWorker{w1, w2}, "job"), 2)
+	is.Equal(d.counters.runsStopped.Count(), int64(0))
+}
+
 // A worker that does not respond to the next leader may run any task that the
 // previous leader could start. None of these tasks is started elsewhere before the
 // worker's leases have expired.
