review: a report of another writer makes tasks run twice (case 8)

Cause: a liveness report whose service no manifest names is recorded as the next life of the minion whose id it comes under; the runs of the living one are discarded and started elsewhere.

Done: a script with one such report beside eight minions.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -27,4 +27,5 @@
 // cases holds the scripts by name.
 var cases = map[string]func(*cell) error{
 	"lasting-crashes": lastingCrashes,
+	"other-writer":    otherWriter,
 }
