--- a/review/standin-2/cell.go
+++ b/review/standin-2/cell.go
@@ -443,13 +443,21 @@
 	return status, decoded.State
 }
 
-// startMinion starts a life of the minion with the index.
+// startMinion starts a life of the minion with the index, under an id of its own.
 func (c *cell) startMinion(index, life int) (*program, error) {
+	return c.startMinionAs(fmt.Sprintf("i-%02d%06x", index, life), index, life)
+}
+
+// startMinionAs starts a life of the minion with the index. Further flags come after the usual ones.
+func (c *cell) startMinionAs(id string, index, life int, flags ...string) (*program, error) {
 	executable, err := os.Executable()
 	if err != nil {
 		return nil, err
 	}
-	return c.start(fmt.Sprintf("i-%02d%06x", index, life), nil, executable, "minion",
-		"-id", fmt.Sprintf("i-%02d%06x", index, life), "-address", c.minionAddress(index), "-zone", zones[index%machineCount],
-		"-service", service, "-rack", fmt.Sprintf("r1-%d", index/4), "-control", c.control(), "-record", c.runsPath())
+	arguments := []string{
+		"minion", "-id", id, "-address", c.minionAddress(index), "-zone", zones[index%machineCount], "-service", service,
+		"-rack", fmt.Sprintf("r1-%d", index/4), "-control", c.control(), "-record", c.runsPath(),
+	}
+	c.note("minion %s starts (life %d)", id, life)
+	return c.start(id, nil, executable, append(arguments, flags...)...)
 }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -29,4 +29,5 @@
 	"lasting-crashes": lastingCrashes,
 	"lasting-failing": lastingFailing,
 	"other-writer":    otherWriter,
+	"late-withdrawal": lateWithdrawal,
 }
--- a/review/standin-2/minion.go
+++ b/review/standin-2/minion.go
@@ -9,29 +9,35 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
 // minion is one life of a minion. It starts what it is told to, whether that fits or not.
 type minion struct {
-	id, address, zone, service, rack string
-	cpu, memMB                       int64
-	born                             time.Time
-	maxHold, stopTime, gangTime      time.Duration
-	record                           *os.File
+	id, address, zone, service, rack, kind string
+	cpu, memMB                             int64
+	born                                   time.Time
+	maxHold, stopTime, gangTime            time.Duration
+	record                                 *os.File
 
-	mu       sync.Mutex
-	changed  chan struct{} // closed when a run has ended
-	token    uint64
-	deadline int64 // on the minion's clock
-	runs     map[string]*taskRun
-	refused  map[string]int64 // the highest run of a task that was stopped or has ended
-	ended    []endRow
-	lastEnd  int64
-	draining bool
+	mu        sync.Mutex
+	changed   chan struct{} // closed when a run has ended
+	token     uint64
+	deadline  int64 // on the minion's clock
+	fixed     bool  // it ignores heartbeat_url, which it may
+	reportNow chan struct{}
+	runs      map[string]*taskRun
+	refused   map[string]int64 // the highest run of a task that was stopped or has ended
+	ended     []endRow
+	lastEnd   int64
+	draining  bool
+	acked     time.Time // when it was first acknowledged that it drains; zero: not yet
+	target    string    // the address that acknowledged its last report
 }
 
 // taskRun is one run of a task.
@@ -50,11 +56,12 @@
 
 func runMinion(arguments []string) {
 	m := &minion{
-		born: time.Now(), changed: make(chan struct{}), runs: make(map[string]*taskRun), refused: make(map[string]int64),
+		born: time.Now(), reportNow: make(chan struct{}, 1), changed: make(chan struct{}), runs: make(map[string]*taskRun), refused: make(map[string]int64),
 	}
 	flags := flag.NewFlagSet("minion", flag.ExitOnError)
 	flags.StringVar(&m.id, "id", "", "")
 	flags.StringVar(&m.address, "address", "", "")
+	listen := flags.String("listen", "", "where it listens, if others reach it at its address through a proxy")
 	flags.StringVar(&m.zone, "zone", "", "")
 	flags.StringVar(&m.service, "service", "", "")
 	flags.StringVar(&m.rack, "rack", "", "")
@@ -62,20 +69,28 @@
 	flags.Int64Var(&m.memMB, "mem", 65536, "")
 	maxHold := flags.Int64("max-hold-ms", 10000, "")
 	stopTime := flags.Int64("stop-ms", 200, "")
+	drain := flags.Int64("drain-ms", 2500, "")
+	kind := flags.String("kind", "a", "")
 	control := flags.String("control", "", "addresses of control, separated by commas")
+	flags.BoolVar(&m.fixed, "fixed", false, "ignore heartbeat_url")
 	record := flags.String("record", "", "")
 	_ = flags.Parse(arguments)
+	m.kind = *kind
 	m.maxHold, m.stopTime = time.Duration(*maxHold)*time.Millisecond, time.Duration(*stopTime)*time.Millisecond
 	var err error
 	if m.record, err = os.OpenFile(*record, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644); err != nil {
 		fatal(err)
 	}
-	listener, err := net.Listen("tcp", m.address)
+	if *listen == "" {
+		*listen = m.address
+	}
+	listener, err := net.Listen("tcp", *listen)
 	if err != nil {
 		fatal(err)
 	}
 	go m.expireLeases()
 	go m.report(strings.Split(*control, ","))
+	go m.leaveOnTerm(time.Duration(*drain) * time.Millisecond)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api/run-start", m.handleStart)
 	mux.HandleFunc("POST /api/run-stop", m.handleStop)
@@ -300,15 +315,56 @@
 				target = control[next%len(control)]
 			}
 			if address, ok := m.reportOnce(client, target, sequence); ok {
-				preferred = address
+				m.mu.Lock()
+				m.target = target
+				m.mu.Unlock()
+				preferred = target
+				if address != "" && !m.fixed {
+					preferred = address
+				}
 				break
 			}
 			preferred = ""
 			next++
 			sequence++
 		}
-		time.Sleep(1500 * time.Millisecond)
+		select {
+		case <-time.After(1500 * time.Millisecond):
+		case <-m.reportNow:
+		}
+	}
+}
+
+// leaveOnTerm makes the minion leave as planned on SIGTERM: it reports that it drains, serves on for drain_ms after that
+// is acknowledged and a little longer, withdraws and ends. Without an acknowledgement it ends after some seconds.
+func (m *minion) leaveOnTerm(drain time.Duration) {
+	term := make(chan os.Signal, 1)
+	signal.Notify(term, syscall.SIGTERM)
+	<-term
+	m.mu.Lock()
+	m.draining = true
+	m.mu.Unlock()
+	m.reportNow <- struct{}{}
+	for begin := time.Now(); time.Since(begin) < 6*time.Second; time.Sleep(20 * time.Millisecond) {
+		m.mu.Lock()
+		left := !m.acked.IsZero() && time.Since(m.acked) > drain+200*time.Millisecond
+		m.mu.Unlock()
+		if left {
+			break
+		}
 	}
+	m.mu.Lock()
+	target := m.target
+	m.mu.Unlock()
+	m.log("withdraw - run 0 sent to %s", target)
+	request, err := http.NewRequest(http.MethodDelete, "http://"+target+"/api/instances/"+m.id, nil)
+	if err == nil {
+		if response, err := (&http.Client{Timeout: time.Second}).Do(request); err == nil {
+			m.log("withdraw - run 0 answered %d", response.StatusCode)
+			_ = response.Body.Close()
+		}
+	}
+	os.Exit(0)
 }
 
 func (m *minion) reportOnce(client *http.Client, target string, sequence int) (next string, ok bool) {
@@ -318,10 +374,17 @@
 		state = "draining"
 	}
 	m.mu.Unlock()
+	defer func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if ok && state == "draining" && m.acked.IsZero() {
+			m.acked = time.Now()
+		}
+	}()
 	body, _ := json.Marshal(map[string]any{
 		"service": m.service, "address": m.address, "zone": m.zone, "version": "v1", "slots": 8, "state": state,
 		"cold_remaining_ms": 0, "capacity": map[string]any{"cpu": m.cpu, "mem_mb": m.memMB, "gpu": 0},
-		"labels": []string{"a", m.rack}, "clock_ms": m.clock(), "sequence": sequence, "born": m.born.UnixMilli(),
+		"labels": []string{m.kind, m.rack}, "clock_ms": m.clock(), "sequence": sequence, "born": m.born.UnixMilli(),
 	})
 	request, err := http.NewRequest(http.MethodPut, "http://"+target+"/api/instances/"+m.id, bytes.NewReader(body))
 	if err != nil {
