--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -30,4 +30,5 @@
 	"lasting-failing": lastingFailing,
 	"other-writer":    otherWriter,
 	"late-withdrawal": lateWithdrawal,
+	"stale-leader":    staleLeader,
 }
--- a/review/standin-2/proxy.go
+++ b/review/standin-2/proxy.go
@@ -7,7 +7,8 @@
 )
 
 // proxy forwards connections to an address. While it is cut, bytes are held up in both directions, also those of
-// a client that has closed its end meanwhile, and delivered once the cut has healed.
+// a client that has closed its end meanwhile, and delivered once the cut has healed. A connection that is opened
+// during the cut is closed when that has healed: its first packet was lost.
 type proxy struct {
 	listener net.Listener
 	target   string
@@ -39,14 +40,15 @@
 	p.healed = nil
 }
 
-// await waits until the proxy is not cut.
-func (p *proxy) await() {
+// await waits until the proxy is not cut. It reports whether it was.
+func (p *proxy) await() (cut bool) {
 	p.mu.Lock()
 	healed := p.healed
 	p.mu.Unlock()
 	if healed != nil {
 		<-healed
 	}
+	return healed != nil
 }
 
 func (p *proxy) accept() {
@@ -56,7 +58,10 @@
 			return
 		}
 		go func() {
-			p.await()
+			if p.await() {
+				_ = conn.Close()
+				return
+			}
 			server, err := net.DialTimeout("tcp", p.target, time.Second)
 			if err != nil {
 				_ = conn.Close()
