--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the second review: review/standin-2/standin2.
+# Builds the stand-ins of the second review, after the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/standin-2"
-go build -o standin2 .
+go build -o ../../target/review-standin-2 .
--- a/review/standin-2/cell.go
+++ b/review/standin-2/cell.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -79,6 +80,14 @@
 	}
 	defer func() { _ = os.RemoveAll(c.folder) }()
 	defer c.stopAll()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-interrupted
+		c.stopAll()
+		_ = os.RemoveAll(c.folder)
+		os.Exit(2)
+	}()
 	c.note("trouble %v", c.trouble)
 	err = run(c)
 	c.appendRuns()
@@ -461,3 +470,17 @@
 	c.note("minion %s starts (life %d)", id, life)
 	return c.start(id, nil, executable, append(arguments, flags...)...)
 }
+
+// watch reads the job's state for so long, each 0.5 s, and notes each change.
+func (c *cell) watch(prefix, id string, length time.Duration) {
+	last := ""
+	machine := 0
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		machine++
+		status, state := c.state(machine, prefix, id)
+		if text := fmt.Sprintf("%d %q", status, state); text != last {
+			last = text
+			c.note("GET %s%s: %s", prefix, id, text)
+		}
+	}
+}
