--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -29,5 +29,6 @@
 	"lasting-failing": lastingFailing,
 	"other-writer":    otherWriter,
 	"late-withdrawal": lateWithdrawal,
+	"large-state":     largeState,
 	"stale-leader":    staleLeader,
 }
