--- a/review/standin-2/case_other_writer.go
+++ b/review/standin-2/case_other_writer.go
@@ -54,14 +54,14 @@
 // sendOddReport sends the other writer's report. Apart from the service it is like a minion's own.
 func (c *cell) sendOddReport(index int, id string) error {
 	body, _ := json.Marshal(map[string]any{
-		"service": "inventory-agent", "address": c.minionAddress(index), "zone": zones[index%machineCount], "version": "v1", "slots": 8,
+		"service": "inventory-agent", "address": c.minionAddress(index), "zone": zones[index%c.machines], "version": "v1", "slots": 8,
 		"state": "ready", "cold_remaining_ms": 0, "capacity": map[string]any{"cpu": 16000, "mem_mb": 65536, "gpu": 0},
 		"labels": []string{"a", fmt.Sprintf("r1-%d", index/4)}, "clock_ms": 1000, "sequence": 1, "born": time.Now().Add(-time.Second).UnixMilli(),
 	})
 	machine := 0
 	return c.await(5*time.Second, "the other writer's report is answered", func() bool {
 		machine++
-		status, answer, err := c.call(http.MethodPut, "http://"+c.address(machine%machineCount, portControl)+"/api/instances/"+id, "", body, time.Second)
+		status, answer, err := c.call(http.MethodPut, "http://"+c.address(machine%c.machines, portControl)+"/api/instances/"+id, "", body, time.Second)
 		c.note("other writer: PUT /api/instances/%s %s: %d %s %v", id, body, status, answer, err)
 		return status != 0
 	})
