dispatch: a new leader expects its predecessor to start occurrences until its lease ends

Cause: the next leader decided at its takeover which tasks the former one may have started, by which were ready then. The former leader's lease lasts up to 4.5 s longer and its wall clock goes on.

Ruled out: an order sent before the freeze, a lease stretched by it.

Change: every task whose dependencies are done waits until all workers are reconciled, whenever it is due. The due time is not asked, as the former leader's wall clock may be ahead.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -32,6 +32,8 @@
 	admitsByLoad bool                // of leaders that start later
 	large        bool                // Config.IsLarge of leaders that start later
 	firstPolls   *concurrencyCounter // of polls of workers that have answered none; nil: not counted
+	links        *leaderLinks
+	clockOf      func(term uint64) clock.Clock // of leaders that start later
 
 	mu            sync.Mutex
 	workers       map[string]*fakeWorker
@@ -52,6 +54,7 @@
 		t: t, table: jobs.New(), workers: make(map[string]*fakeWorker), steps: make(map[string][]*apiv1.JobStep),
 		timing: Timing{MaxLease: 1200 * time.Millisecond, JobStatusRetention: time.Minute},
 		logger: slog.New(slog.DiscardHandler),
+		links:  newLeaderLinks(), clockOf: func(uint64) clock.Clock { return clock.System{} },
 	}
 	for _, one := range workers {
 		c.workers[one.record.GetId()] = one
@@ -67,8 +70,8 @@
 	term := c.term
 	c.mu.Unlock()
 	d := New(context.Background(), Config{
-		Log: clusterLog{c}, Table: c.table, WorkerClient: clusterWorkerClient{c}, Advisor: clusterAdvisor{c},
-		Clock: clock.System{}, Logger: c.logger, Metrics: metrics.NewRegistry(), Timing: c.timing,
+		Log: clusterLog{c, term}, Table: c.table, WorkerClient: clusterWorkerClient{c, term}, Advisor: clusterAdvisor{c},
+		Clock: c.clockOf(term), Logger: c.logger, Metrics: metrics.NewRegistry(), Timing: c.timing,
 		CallLimits: c.callLimits, QuotaOverage: c.overage, AdmitsByLoad: c.admitsByLoad,
 		IsLarge: func() bool { return c.large },
 	}, term)
@@ -144,9 +147,15 @@
 }
 
 // clusterLog implements Log without replication.
-type clusterLog struct{ *testCluster }
+type clusterLog struct {
+	*testCluster
+	term uint64 // of the leader that uses it
+}
 
 func (l clusterLog) Propose(_ context.Context, command *apiv1.Command) (*apiv1.CommandResult, error) {
+	if !l.links.reachesQuorum(l.term) {
+		return nil, errNoQuorum
+	}
 	l.mu.Lock()
 	proposalsFail, commitTime := l.noQuorum, l.commitTime
 	l.mu.Unlock()
@@ -158,17 +167,25 @@
 	return &apiv1.CommandResult{Body: &apiv1.CommandResult_Jobs{Jobs: result}}, nil
 }
 
-func (l clusterLog) Barrier(context.Context) error { return nil }
+func (l clusterLog) Barrier(context.Context) error {
+	if !l.links.reachesQuorum(l.term) {
+		return errNoQuorum
+	}
+	return nil
+}
 
 // clusterWorkerClient implements WorkerClient with the fake workers.
-type clusterWorkerClient struct{ *testCluster }
+type clusterWorkerClient struct {
+	*testCluster
+	term uint64 // of the leader that uses it
+}
 
-func (d clusterWorkerClient) Start(_ context.Context, worker *apiv1.PoolWorker, req StartRequest) (Response, error) {
-	return d.worker(worker).start(req)
+func (d clusterWorkerClient) Start(ctx context.Context, worker *apiv1.PoolWorker, req StartRequest) (Response, error) {
+	return callOverLink(ctx, d, worker, func() (Response, error) { return d.worker(worker).start(req) })
 }
 
-func (d clusterWorkerClient) Stop(_ context.Context, worker *apiv1.PoolWorker, req StopRequest) (Response, error) {
-	return d.worker(worker).stop(req)
+func (d clusterWorkerClient) Stop(ctx context.Context, worker *apiv1.PoolWorker, req StopRequest) (Response, error) {
+	return callOverLink(ctx, d, worker, func() (Response, error) { return d.worker(worker).stop(req) })
 }
 
 func (d clusterWorkerClient) Hold(ctx context.Context, worker *apiv1.PoolWorker, req HoldRequest) (HoldResponse, error) {
@@ -176,7 +193,7 @@
 		d.firstPolls.begin()
 		defer d.firstPolls.end()
 	}
-	return d.worker(worker).hold(ctx, req)
+	return callOverLink(ctx, d, worker, func() (HoldResponse, error) { return d.worker(worker).hold(ctx, req) })
 }
 
 // clusterAdvisor implements Advisor with the policy of the cluster's fields.
--- a/internal/dispatch/fake_worker_test.go
+++ b/internal/dispatch/fake_worker_test.go
@@ -54,6 +54,8 @@
 	losesAnswer  bool           // start requests are executed and get no response, and then the worker is silent
 	starts       []StartRequest // requests that started a run
 	onStart      func()         // if set, called under the lock after each start of a run
+	onEnd        func(EndedRun) // if set, called under the lock after each end of a run
+	onAck        func(EndedRun) // if set, called under the lock for each end that is acknowledged
 	stopsHeld    bool           // runs go on after a stop request, until they are finished
 	holds        int            // hold requests answered
 	endAdded     chan struct{}  // signals a new end
@@ -247,6 +249,9 @@
 	w.extendLease(req.Deadline)
 	w.ackCursor = max(w.ackCursor, req.Cursor)
 	for len(w.ended) > 0 && w.ended[0].Sequence <= w.ackCursor {
+		if w.onAck != nil {
+			w.onAck(w.ended[0])
+		}
 		w.ended = w.ended[1:]
 	}
 	wait, born := req.WaitMs > 0 && len(w.ended) == 0, w.record.GetBornUnixMs()
@@ -307,6 +312,9 @@
 		end.Checkpoint = savedAtStop
 	}
 	w.ended = append(w.ended, end)
+	if w.onEnd != nil {
+		w.onEnd(end)
+	}
 	select {
 	case w.endAdded <- struct{}{}:
 	default:
--- a/internal/dispatch/incarnation_cases_test.go
+++ b/internal/dispatch/incarnation_cases_test.go
@@ -40,13 +40,13 @@
 
 // startRecordingLeader is startLeader with a recordingClient.
 func (c *testCluster) startRecordingLeader() (*Dispatcher, *recordingClient) {
-	client := &recordingClient{clusterWorkerClient: clusterWorkerClient{c}, lastHolds: make(map[string]HoldRequest)}
+	client := &recordingClient{clusterWorkerClient: clusterWorkerClient{testCluster: c}, lastHolds: make(map[string]HoldRequest)}
 	c.mu.Lock()
 	c.term++
 	term := c.term
 	c.mu.Unlock()
 	d := New(context.Background(), Config{
-		Log: clusterLog{c}, Table: c.table, WorkerClient: client, Advisor: clusterAdvisor{c},
+		Log: clusterLog{testCluster: c}, Table: c.table, WorkerClient: client, Advisor: clusterAdvisor{c},
 		Clock: clock.System{}, Logger: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(), Timing: c.timing,
 		CallLimits: c.callLimits,
 	}, term)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -119,8 +119,11 @@
 	w.recordLeaseGranted(time.Now(), min(p.d.Timing.leaseAfterBirth()-age, p.d.Timing.leaseAfterBirth()))
 }
 
-// addJob adds a job, unless the pool has it. If inherited, tasks that the
-// previous leader may have started wait until its workers are reconciled.
+// addJob adds a job, unless the pool has it. If inherited, tasks that former leaders may have
+// started, or may start until their leases end, wait until the workers are reconciled. Those
+// are all tasks of steps whose dependencies are done: a former leader applies no later end, but its wall
+// clock goes on, and occurrences become due there. Whether they are due by this process's
+// clock does not tell.
 func (p *pool) addJob(j *job, inherited bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -128,10 +131,10 @@
 		return
 	}
 	p.jobs[j.id] = j
-	nowUnixMs := p.d.nowUnixMs() + p.d.Timing.EarlyStart.Milliseconds()
 	for _, u := range j.units {
+		startable := inherited && len(p.unreconciled) > 0 && u.dependenciesDone()
 		for _, t := range u.tasks {
-			p.setMayBeRunning(t, inherited && !t.done && len(p.unreconciled) > 0 && u.ready(nowUnixMs))
+			p.setMayBeRunning(t, startable && !t.done)
 		}
 	}
 	p.requestPass()
