dispatch: restart what ran on a lost worker only after the leadership is confirmed

Cause: a leader that does not reach a worker concludes from its own grants that the worker's leases have expired. A successor that reaches the worker may have extended them and adopted its runs, and the former leader's own lease may still be valid. It then starts the task a second time on a worker that has not heard of the successor. The same holds for a new leader that gives up an inherited worker.

Change: such conclusions permit starts only after a read-index round begun after them, which is requested at once. Ruled out: a longer margin, as the successor extends the leases for as long as it leads.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -21,6 +21,7 @@
 	term        uint64
 	counters    counters
 	leaderLease *leaderLease
+	renewNow    chan struct{} // holds an element if the leader lease has to be renewed soon
 	advisorPool *advisorPool
 	ends        *endBatcher
 	holdSlots   *callSlots
@@ -58,6 +59,7 @@
 		term:        term,
 		counters:    newCounters(config.Metrics),
 		leaderLease: &leaderLease{clock: config.Clock, length: config.Timing.leaseDuration()},
+		renewNow:    make(chan struct{}, 1),
 		advisorPool: newAdvisorPool(),
 		holdSlots:   newCallSlots(config.CallLimits.Holds),
 		largeHolds:  newCallSlots(config.CallLimits.LargeHolds),
@@ -94,13 +96,11 @@
 	}
 	d.spawn(d.logLoad)
 	d.spawn(d.logRuns)
-	for {
-		if err := sleep(d.ctx, leaderLeaseRenewInterval); err != nil {
-			return nil
-		}
+	for d.renewUntil(time.Now().Add(leaderLeaseRenewInterval)) {
 		d.renewLease()
 		d.forgetFinishedJobs()
 	}
+	return nil
 }
 
 // Stop ends the term. It does not wait; Run returns when all work has ended.
@@ -118,6 +118,9 @@
 		return
 	}
 	d.leaderLease.renewLease(roundStart)
+	for _, p := range d.allPools() {
+		p.confirmLosses(roundStart)
+	}
 }
 
 // takeOver loads workers and unfinished jobs from the replicated table, once all
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -43,6 +43,7 @@
 	containments    map[string]*containment
 	crashedWorkers  crashedWorkers
 	silentLosses    silentLosses
+	losses          []loss // not confirmed yet, in their order
 	probableCrashes probableCrashes
 	// harmlessWaitedAt is when a unit that needs no trial last waited for long.
 	harmlessWaitedAt time.Time
--- a/internal/dispatch/pool_workers.go
+++ b/internal/dispatch/pool_workers.go
@@ -110,7 +110,7 @@
 	forgetAt := now
 	for _, r := range runs {
 		r.staysCounted = cause == lossSilent && r.mayBeOfLaterIncarnation()
-		p.discardRun(r)
+		p.loseRun(r)
 	}
 	switch {
 	case w.crashed(cause):
@@ -125,7 +125,7 @@
 		}
 		p.silentLosses.add(w, crashed, append(lateStarts, uncertain...), now)
 	}
-	p.markReconciled(w.id)
+	p.loseUnreconciled(w)
 	p.d.forgetWorker(w.storedRecord(), forgetAt.Sub(now))
 	p.requestPass()
 }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -78,7 +78,7 @@
 			p.stopRun(r, "missing from the worker's report, and a start request of it is unanswered")
 		default:
 			p.d.Logger.Info("run missing from the worker's report", logRun(r), "reason", r.reason)
-			p.discardRun(r)
+			p.loseRun(r)
 		}
 	}
 }
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -25,6 +25,8 @@
 	crashes      jobs.Crashes // of workers under its runs
 	// crashUnrecorded is set while the last crash is not committed yet.
 	crashUnrecorded bool
+	// unconfirmedLosses is the number of its runs that were lost since the leadership was last confirmed.
+	unconfirmedLosses int
 }
 
 // name returns the name that identifies the task to workers.
@@ -58,7 +60,7 @@
 
 // pending reports whether the task can be started now.
 func (t *task) pending(now time.Time) bool {
-	return !t.done && t.run == nil && t.fences == 0 && !t.mayBeRunning && !t.crashUnrecorded && !now.Before(t.notBefore)
+	return !t.done && t.run == nil && t.fences == 0 && !t.mayBeRunning && !t.crashUnrecorded && t.unconfirmedLosses == 0 && !now.Before(t.notBefore)
 }
 
 // addFailure records a failed run. A run reported again, also to another leader,
