raft: election timeouts follow the time that syncs take

All control processes were up and refused at once.

Cause of a state that looks like this: a candidate waited 140 to 280 ms for votes, which voters write to disk before they send them, and then began the next term, for which they had to write again. A leader is silent while it writes, and followers deposed it after 300 to 600 ms. On disks with syncs of 0.4 s there was no leader until they were faster. That the users saw this is suspected: the record does not show the time of syncs.

Ruled out as far as played: size, contention, disks lost and VMs replaced in series, all killed meanwhile (54 faults of real processes, three cells at a time at loads of 25 to 37; half of them, as trials, with a log that is compacted every 300 entries).

Change: the shortest election timeout is at least three of the member's own syncs, the second longest of the latest four; the wait for votes doubles from the third campaign on; a leader elected by slow voters waits as long for them. All limited to 16 times the usual timeout. With syncs below 0.1 s and two campaigns or fewer nothing changes.

--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -22,6 +22,8 @@
 	electionTicks        int // since the last message from the leader, vote granted or campaign begun
 	electionTimeoutTicks int // randomized for each wait
 	heartbeatTicks       int // since the last heartbeat sent as leader
+	syncTicks            int // that a sync takes, see SetSyncTicks
+	campaigns            int // begun since a leader was last known, or before this member was elected
 
 	votes          map[uint64]bool      // responses to a (pre-)candidate by incarnation; true: granted
 	ownVotePending bool                 // a candidate's own vote, to be counted once it is on disk
@@ -100,6 +102,9 @@
 // becomeFollower makes the member a follower in term, which may be the current
 // one. The vote is kept unless the term changes.
 func (c *Core) becomeFollower(term, leader uint64) {
+	if c.role == Leader && c.campaigns > 0 {
+		c.campaigns-- // the one that was won
+	}
 	if term != c.term {
 		c.vote = 0
 	}
@@ -118,13 +123,17 @@
 	c.reads = readRounds{}
 	c.transferee = 0
 	c.heartbeatTicks = 0
-	c.restartElectionTimer(c.options.ElectionTicks)
+	c.restartElectionTimer(c.shortestElectionTicks())
 }
 
 // restartElectionTimer draws a random election timeout in
 // [shortest, 2*shortest) ticks.
 func (c *Core) restartElectionTimer(shortest int) {
 	c.electionTicks = 0
+	c.drawElectionTimeout(shortest)
+}
+
+func (c *Core) drawElectionTimeout(shortest int) {
 	c.electionTimeoutTicks = shortest + c.random.IntN(shortest)
 }
 
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -50,8 +50,9 @@
 	c.term++
 	c.vote = c.id
 	c.leader = 0
+	c.campaigns++
 	c.resetRole()
-	c.shortenElectionTimer()
+	c.restartElectionTimer(max(1, c.stretch(c.shortestElectionTicks()/campaignRetryDivisor)))
 	c.votes = make(map[uint64]bool)
 	c.requestVotes(apiv1.RaftMessage_TYPE_VOTE, c.term, transfer)
 	c.ownVotePending = true
@@ -60,7 +61,7 @@
 // shortenElectionTimer makes a campaign that ended in a split vote start again
 // sooner than a follower's election timeout.
 func (c *Core) shortenElectionTimer() {
-	c.restartElectionTimer(max(1, c.options.ElectionTicks/campaignRetryDivisor))
+	c.restartElectionTimer(max(1, c.shortestElectionTicks()/campaignRetryDivisor))
 }
 
 // campaignRetryDivisor is what the shortest election timeout is divided by to
--- a/internal/raft/follower.go
+++ b/internal/raft/follower.go
@@ -18,6 +18,7 @@
 	}
 	c.leader = leader
 	c.electionTicks = 0
+	c.campaigns = 0
 }
 
 func (c *Core) handleAppend(m *apiv1.RaftMessage) {
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -48,7 +48,7 @@
 // term, so that a removed or returning member can't depose a leader that a
 // majority follows.
 func (c *Core) heardLeaderRecently() bool {
-	return c.leader != 0 && c.electionTicks < c.options.ElectionTicks
+	return c.leader != 0 && c.electionTicks < c.shortestElectionTicks()
 }
 
 // handleLowerTerm answers a sender that has missed the current term, so that it
--- a/internal/raft/tick.go
+++ b/internal/raft/tick.go
@@ -69,7 +69,7 @@
 func (c *Core) countActiveVoters(membership *apiv1.Membership) int {
 	active := 0
 	for _, voter := range membership.GetVoters() {
-		if c.progress[voter.GetIncarnation()].ticksSinceResponse < c.options.ElectionTicks {
+		if c.progress[voter.GetIncarnation()].ticksSinceResponse < c.stretch(c.shortestElectionTicks()) {
 			active++
 		}
 	}
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -155,6 +155,7 @@
 			return err
 		}
 		r.core.Advance()
+		r.core.SetSyncTicks(int(r.syncTimes.typical() / r.config.TickInterval))
 		r.updateLeadership()
 	}
 	r.publish()
@@ -207,6 +208,7 @@
 		return err
 	}
 	r.counters.sync.UpdateSince(begin)
+	r.syncTimes.record(time.Since(begin))
 	return nil
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -39,6 +39,7 @@
 	tickedAt   time.Time          // time to which the core's timers are advanced
 	heard      map[uint64]contact // of the other members while this one leads
 	leaderTerm uint64             // term that this member leads; 0: it is not the leader
+	syncTimes  syncTimes
 
 	mu      sync.Mutex // guards the fields below
 	status  Status
