replica, control: log why a member knows no leader

A member without a leader now logs "no leader" each 2 s, with its role, term, campaigns and log, the time of its syncs, and of each voter the address, the vote and why the last call to it failed. "spare registration failed" has the addresses that were asked. Nothing is logged while a leader is known, and no call or line is added for a task or a worker.

TestLogTellsWhyThereIsNoLeader has two of three members cut off.

--- a/internal/control/bootstrap.go
+++ b/internal/control/bootstrap.go
@@ -75,7 +75,7 @@
 		hasLeader, wait := s.Log.Status().Leader != 0, spareRegistrationInterval
 		if !s.isVoter() || !hasLeader && !hadLeader {
 			if err := s.registerAsSpare(ctx, client, failureDomain); err != nil {
-				s.Logger.Info("spare registration failed", "error", err)
+				s.Logger.Info("spare registration failed", "addresses", client.Addresses(), "error", err)
 				wait = spareRetryInterval
 			}
 		}
--- a/internal/raft/status.go
+++ b/internal/raft/status.go
@@ -1,5 +1,7 @@
 package raft
 
+import "maps"
+
 // MemberProgress is what the leader knows about another member's replication.
 type MemberProgress struct {
 	MatchIndex         uint64 // last index known to be on the member's disk
@@ -21,3 +23,21 @@
 	}
 	return all
 }
+
+// Election is what a member that knows no leader does about that.
+type Election struct {
+	Role        Role
+	Votes       map[uint64]bool // responses to its campaign by incarnation; true: granted
+	MayCampaign bool
+	LastIndex   uint64 // of the log
+	LastTerm    uint64
+	Campaigns   int // begun since a leader was last known
+}
+
+// Election returns the state of this member's search for a leader.
+func (c *Core) Election() Election {
+	return Election{
+		Role: c.role, Votes: maps.Clone(c.votes), MayCampaign: c.mayCampaign(),
+		LastIndex: c.log.last(), LastTerm: c.log.lastTerm(), Campaigns: c.campaigns,
+	}
+}
--- a/internal/replica/leadership_test.go
+++ b/internal/replica/leadership_test.go
@@ -61,3 +61,19 @@
 		})
 	}
 }
+
+// A majority that can't elect a leader said nothing of why.
+func TestLogTellsWhyThereIsNoLeader(t *testing.T) {
+	log := &logBuffer{}
+	c := newFormedCluster(t, 3, func(config *replica.Config) {
+		config.Logger = slog.New(slog.NewTextHandler(log, nil))
+	})
+	c.write("before")
+	for _, n := range c.nodes[1:] {
+		n.gate.shut()
+	}
+	eventually(t, "the reason in the log", func() bool {
+		text := log.String()
+		return strings.Contains(text, "no leader") && strings.Contains(text, c.nodes[1].config.Address+": vote no response; last call failed: ")
+	})
+}
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -96,6 +96,7 @@
 	r.core.SkipTicks(int(due) - 1)
 	r.core.Tick()
 	r.publishProgress(now)
+	r.logLeaderless(now)
 }
 
 // maxBatchInputs bounds how many queued inputs of each kind the loop processes
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -40,6 +40,7 @@
 	heard      map[uint64]contact // of the other members while this one leads
 	leaderTerm uint64             // term that this member leads; 0: it is not the leader
 	syncTimes  syncTimes
+	leaderless leaderless
 
 	mu      sync.Mutex // guards the fields below
 	status  Status
--- a/internal/replica/sender.go
+++ b/internal/replica/sender.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -22,6 +23,7 @@
 	stop          chan struct{} // closed to stop the sender
 	httpTransport *http.Transport
 	client        apiv1.Peer
+	failure       atomic.Pointer[string] // why the last call failed; nil: it succeeded
 }
 
 // snapshotResult tells whether a snapshot has reached the process of a member.
@@ -129,8 +131,12 @@
 		// An idle connection may be dead without having been closed; the next
 		// call must not reuse it.
 		s.httpTransport.CloseIdleConnections()
+		text := err.Error()
+		s.failure.Store(&text)
+		return err
 	}
-	return err
+	s.failure.Store(nil)
+	return nil
 }
 
 // runSnapshots sends the queued snapshots until ctx ends or the sender is
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -73,6 +73,20 @@
 	return t.learnedAddresses[incarnation]
 }
 
+// lastFailure returns why the last call to the incarnation failed, or "" if it succeeded or there was none.
+func (t *transport) lastFailure(incarnation uint64) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.senders[incarnation]
+	if s == nil {
+		return ""
+	}
+	if text := s.failure.Load(); text != nil {
+		return *text
+	}
+	return ""
+}
+
 // learnAddress records the address that a request gave as its sender's. It is
 // used to answer a member that this member's membership does not list (yet).
 func (t *transport) learnAddress(incarnation uint64, address string) {
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -1,6 +1,8 @@
 package rpc
 
 import (
+	"slices"
+
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 )
 
@@ -71,6 +73,11 @@
 	return c.directory.leader()
 }
 
+// Addresses returns the addresses that calls go to.
+func (c *Client) Addresses() []string {
+	return slices.DeleteFunc(c.directory.known(), func(address string) bool { return address == "" })
+}
+
 // Close closes all idle connections at once, and those in use when their calls end.
 func (c *Client) Close() {
 	c.transports.close()
