test/failure: faults of a core of five voters in series

The soak's cell has three voters, so that a core of five with a spare was never played with real processes. TestCoreFaultsInSeries kills, wipes and replaces as much of such a core as the platform does, also while lost members are being replaced, and demands a publication after each fault and an answer for each accepted job at the end. The cell's size is a parameter now; that of the soak is as before.

--- /dev/null
+++ b/test/failure/core_soak_test.go
@@ -0,0 +1,180 @@
+package failure_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+var (
+	coreSeed      = flag.Int64("core.seed", 0, "first seed of TestCoreFaultsInSeries; 0: run the fixed seed")
+	coreSeedCount = flag.Int("core.count", 1, "number of consecutive seeds to run, from core.seed on")
+	coreRounds    = flag.Int("core.rounds", 2, "number of faults of the core, one after the other")
+	coreEntries   = flag.Int("core.entries", 4, "number of entries")
+	coreWorkers   = flag.Int("core.workers", 12, "number of workers")
+	coreCallers   = flag.Int("core.callers", 4, "number of callers")
+)
+
+const (
+	coreControls  = 6 // five voters and a spare
+	coreTolerated = 2
+	coreDarkTime  = 9500 * time.Millisecond // the longest time that processes are down
+	// coreCatchUpBound is the time after a fault within which the core must be able to bear the next one.
+	coreCatchUpBound = 6 * time.Second
+	coreStartSpread  = 500 * time.Millisecond // between the starts of processes that were down together
+)
+
+// coreFaults hit as much of the core at once as the platform does. Each returns when all processes are up.
+var coreFaults = []soakFault{
+	{"all control processes are killed in the middle of a write", func(c *soakCell, r *rand.Rand) {
+		c.killTogether(r, c.control, nil, coreDarkTime)
+	}},
+	{"as many lose their disks as is tolerated", func(c *soakCell, r *rand.Rand) {
+		wiped := c.pickTolerated(r)
+		c.killTogether(r, wiped, wiped, coreDarkTime)
+	}},
+	{"as many lose their disks as is tolerated, and the others are killed", func(c *soakCell, r *rand.Rand) {
+		c.killTogether(r, c.control, c.pickTolerated(r), coreDarkTime)
+	}},
+	{"one loses its disk after the other", func(c *soakCell, r *rand.Rand) {
+		for _, p := range c.pickTolerated(r) {
+			wiped := []*soakProcess{p}
+			c.killTogether(r, wiped, wiped, coreDarkTime)
+			time.Sleep(coreCatchUpBound)
+		}
+	}},
+	{"VMs are replaced one after the other", func(c *soakCell, r *rand.Rand) {
+		for range coreTolerated + 1 {
+			c.replaceVM(r.Intn(len(c.control)), len(c.control)+len(c.lostVMs))
+			time.Sleep(coreCatchUpBound)
+		}
+	}},
+	{"as many lose their disks as is tolerated, and all are killed while these are replaced", func(c *soakCell, r *rand.Rand) {
+		wiped := c.pickTolerated(r)
+		c.killTogether(r, wiped, wiped, soakMaxFaultTime)
+		c.killWhileReplaced(r)
+	}},
+	{"a VM is replaced, and all are killed meanwhile", func(c *soakCell, r *rand.Rand) {
+		c.replaceVM(r.Intn(len(c.control)), len(c.control)+len(c.lostVMs))
+		c.killWhileReplaced(r)
+	}},
+	{"all are restarted in turn", func(c *soakCell, _ *rand.Rand) {
+		for _, p := range c.control {
+			c.restart(p)
+			time.Sleep(coreStartSpread)
+		}
+	}},
+}
+
+// TestCoreFaultsInSeries exposes a core of five voters and a spare to faults that hit most of it, each once the one before
+// is over for as long as the core may take to catch up. A publication must go through after each, and all
+// accepted jobs must be finished after the last.
+func TestCoreFaultsInSeries(t *testing.T) {
+	first := *coreSeed
+	if first == 0 {
+		first = 61
+	}
+	for seed := first; seed < first+int64(*coreSeedCount); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { soakCore(t, seed) })
+	}
+}
+
+func soakCore(t *testing.T, seed int64) {
+	c := newSizedSoakCell(t, seed, soakSize{controls: coreControls, entries: *coreEntries, workers: *coreWorkers, tolerated: coreTolerated}, 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var group sync.WaitGroup
+	for _, w := range c.workers {
+		group.Go(func() { w.sendHeartbeats(ctx) })
+	}
+	client := &http.Client{Timeout: time.Second}
+	version := int64(0)
+	publishes := func() bool {
+		version++
+		if !c.publish(client, version) {
+			return false
+		}
+		c.checker.versionAcknowledged(version)
+		return true
+	}
+	await(t, "the cell to form and to serve a configuration", publishes)
+	time.Sleep(coreCatchUpBound)
+	callerCtx, stopCallers := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	for i := range int64(*coreCallers) {
+		callers.Go(func() { c.runCaller(callerCtx, seed*1000+i) })
+	}
+	random := rand.New(rand.NewSource(seed))
+	for range *coreRounds {
+		fault := pickOne(random, coreFaults)
+		t.Logf("%7.3f s  %s", time.Since(c.checker.began).Seconds(), fault.name)
+		publishes()
+		fault.inject(c, random)
+		calm := time.Now()
+		if !holdsWithin(soakRecoveryBound, publishes) {
+			c.checker.recordViolation("no publication goes through within %v after: %s", soakRecoveryBound, fault.name)
+			break
+		}
+		t.Logf("%7.3f s  a publication went through after %v", time.Since(c.checker.began).Seconds(), time.Since(calm).Round(time.Millisecond))
+		c.readVersion(client)
+		time.Sleep(time.Until(calm.Add(coreCatchUpBound)))
+	}
+	stopCallers()
+	callers.Wait()
+	c.awaitJobsFinished()
+	cancel()
+	group.Wait()
+	t.Log(c.checker.summary())
+	for _, violation := range c.checker.recordedViolations() {
+		t.Error(violation)
+	}
+}
+
+// pickTolerated returns as many control processes as may be lost at a time.
+func (c *soakCell) pickTolerated(r *rand.Rand) []*soakProcess {
+	var picked []*soakProcess
+	for _, i := range r.Perm(len(c.control))[:coreTolerated] {
+		picked = append(picked, c.control[i])
+	}
+	return picked
+}
+
+// killWhileReplaced kills all control processes some times while lost members are replaced.
+func (c *soakCell) killWhileReplaced(r *rand.Rand) {
+	for range 1 + r.Intn(3) {
+		c.wait(randomDuration(r, 0, 2*time.Second))
+		c.killTogether(r, c.control, nil, time.Second)
+	}
+}
+
+// killTogether kills the processes at once, removes the data of some of them, leaves the end of a torn write on the disks of
+// some, and starts them in random order after darkTime at most.
+func (c *soakCell) killTogether(r *rand.Rand, killed, wiped []*soakProcess, darkTime time.Duration) {
+	var group sync.WaitGroup
+	for _, p := range killed {
+		p.faultLock.Lock()
+		defer p.faultLock.Unlock()
+		p.beginFault()
+		group.Go(p.killAndWait)
+	}
+	group.Wait()
+	for _, p := range killed {
+		if r.Intn(2) == 0 {
+			appendTornRecord(p, r)
+		}
+	}
+	for _, p := range wiped {
+		removeDataDir(p, r)
+	}
+	c.wait(randomDuration(r, 0, darkTime))
+	for _, i := range r.Perm(len(killed)) {
+		killed[i].writeSettingsAndStart(false)
+		killed[i].endFault()
+		c.wait(randomDuration(r, 0, coreStartSpread/time.Duration(len(killed))))
+	}
+}
--- a/test/failure/replaced_vm_test.go
+++ b/test/failure/replaced_vm_test.go
@@ -66,7 +66,9 @@
 	c.lostVMs = append(c.lostVMs, gone)
 	c.control[lost] = p
 	p.writeSettingsAndStart(false)
-	c.seeds[lost] = successor
+	if lost < len(c.seeds) {
+		c.seeds[lost] = successor
+	}
 }
 
 // leader returns the index of the control process that serves reads of the configuration.
--- a/test/failure/soak_cell_test.go
+++ b/test/failure/soak_cell_test.go
@@ -29,12 +29,24 @@
 	soakRecoveryBound = 60 * time.Second
 )
 
-// Sizes of the soak's cell.
-const (
-	soakControlCount = 3
-	soakEntryCount   = 2
-	soakWorkerCount  = 8
-)
+// soakSize is the number of processes of a cell.
+type soakSize struct {
+	controls, entries, workers int
+	tolerated                  int // control processes that may be lost at a time
+}
+
+const soakControlCount = 3 // of the usual cell
+
+// usualSoakSize is the size of a cell with the number of workers.
+func usualSoakSize(workers int) soakSize {
+	return soakSize{controls: soakControlCount, entries: 2, workers: workers, tolerated: 1}
+}
+
+// soakWorkerCount is the number of workers of the usual cell.
+const soakWorkerCount = 8
+
+// maxSoakSeeds is the number of control processes that settings name as seeds.
+const maxSoakSeeds = 3
 
 // soakCell is a cell as it runs on the users' platform: real daemons in separate
 // processes, fake workers, and relays in front of the internal ports of the control
@@ -44,6 +56,7 @@
 	checker        *soakChecker
 	gangs          soakGangs
 	dir            string
+	tolerated      int          // control processes that may be lost at a time
 	descriptors    int          // limit of each daemon, as the platform states it; 0: none
 	addressOctet   int          // second octet of the cell's loopback addresses, which depends on the seed
 	diskFaultLock  sync.Mutex   // serializes the choice of a control process whose disk is damaged
@@ -68,26 +81,34 @@
 // bootstrap it.
 func newSoakCell(t testing.TB, seed int64) *soakCell {
 	t.Helper()
-	return newLimitedSoakCell(t, seed, soakWorkerCount, 0)
+	return newSizedSoakCell(t, seed, usualSoakSize(soakWorkerCount), 0)
 }
 
 // newLimitedSoakCell starts a cell with the number of workers. The daemons may have as
 // many descriptors open as given; 0: no limit.
 func newLimitedSoakCell(t testing.TB, seed int64, workerCount, descriptors int) *soakCell {
+	t.Helper()
+	return newSizedSoakCell(t, seed, usualSoakSize(workerCount), descriptors)
+}
+
+// newSizedSoakCell is newLimitedSoakCell for a cell of any size.
+func newSizedSoakCell(t testing.TB, seed int64, size soakSize, descriptors int) *soakCell {
 	t.Helper()
 	c := &soakCell{
-		t: t, checker: newSoakChecker(), dir: soakDir(t, seed), descriptors: descriptors,
+		t: t, checker: newSoakChecker(), dir: soakDir(t, seed), tolerated: size.tolerated, descriptors: descriptors,
 		addressOctet: 1 + int(uint64(seed)%200),
 	}
-	for i := range soakControlCount {
-		c.seeds = append(c.seeds, i)
+	for i := range size.controls {
+		if i < maxSoakSeeds {
+			c.seeds = append(c.seeds, i)
+		}
 		c.control = append(c.control, c.newProcess("control", i))
 	}
-	for i := range soakEntryCount {
+	for i := range size.entries {
 		c.entries = append(c.entries, c.newProcess("entry", i))
 	}
 	t.Cleanup(c.stop)
-	for i := range workerCount {
+	for i := range size.workers {
 		c.workers = append(c.workers, startSoakWorker(c, fmt.Sprintf("i-%d", i), seed+int64(i)))
 	}
 	for _, p := range c.daemons() {
@@ -186,7 +207,7 @@
 memory_mb = 284
 max_fds = %d
 [fault_tolerance]
-machines = 1
+machines = %d
 [bounds]
 catch_up_s = %v
 grace_s = %v
@@ -197,7 +218,7 @@
 status_s = 600
 `, p.name, role, serves, p.advertisedIP, soakFirstPort, soakFirstPort+9, strings.Join(seeds, ","), bootstrap, dataDir,
 		soakHeartbeatSetting.Milliseconds(),
-		p.listenIP, soakFirstPort+10, p.listenIP, soakFirstPort+11, p.listenIP, soakFirstPort+12, p.listenIP, c.descriptors,
+		p.listenIP, soakFirstPort+10, p.listenIP, soakFirstPort+11, p.listenIP, soakFirstPort+12, p.listenIP, c.descriptors, c.tolerated,
 		soakCatchUpBound.Seconds(), soakShutdownGrace.Seconds(), soakMaxHold.Milliseconds(), soakContactBound.Milliseconds(), soakStopTimeout.Milliseconds())
 }
 
