--- a/internal/daemon/platform_control.go
+++ b/internal/daemon/platform_control.go
@@ -101,7 +101,6 @@
 			IsLarge:      size.IsLarge,
 			Timing: dispatch.Timing{
 				MaxLease:           platform.Milliseconds(bounds.MaxHoldMs),
-				EarlyStart:         platform.Milliseconds(bounds.EarlyStartMs),
 				JobStatusRetention: platform.Seconds(bounds.JobStatusSeconds),
 				StopTime:           platform.Milliseconds(bounds.StopTimeoutMs),
 				RateWindow:         platform.Seconds(bounds.QuotaWindowSeconds),
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -54,7 +54,6 @@
 // Timing holds durations that follow from the platform's limits.
 type Timing struct {
 	MaxLease           time.Duration // longest lease that a worker accepts
-	EarlyStart         time.Duration // how much before its due time an occurrence may start
 	JobStatusRetention time.Duration // how long callers may query a finished job
 	StopTime           time.Duration // how long a worker may take to stop a run
 	RateWindow         time.Duration // of its rate, what a workspace may send at once; 0: the default
--- a/internal/raft/timeouts_test.go
+++ b/internal/raft/timeouts_test.go
@@ -28,7 +28,7 @@
 }
 
 // A candidate whose voters were slower than its timeout began term after term, and each made them write another vote.
-func TestCandidateWaitsLongerAfterCampaignsInVain(t *testing.T) {
+func TestCandidateWaitsLongerAfterFailedCampaigns(t *testing.T) {
 	is := is.New(t)
 	sim, leader := newSimulationWithLeader(t, 3)
 	candidate := sim.members[1].core
