dispatch: a test waits until the pool has applied the last ends

Cause: the test waits until the table shows all jobs as finished, and then counts the jobs of the pool once. The pool applies an end after its commit: in between the table has it and the pool does not. Trace: with 10 ms before applyCommittedEnds (scratch copy) 4 of 4 runs failed in the same line, and 4 of 4 pass with this change.

The test now waits until the pool has no job, for as long as for the jobs themselves, and then checks all it checked before: a job that stays in the pool still fails it.

--- a/internal/dispatch/incarnation_cases_test.go
+++ b/internal/dispatch/incarnation_cases_test.go
@@ -660,6 +660,11 @@
 		c.waitUntilSettled(d, w)
 	}
 	p := d.pool(testService)
+	c.eventually("the pool has applied the last ends, which the table shows before", func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return len(p.jobs) == 0
+	})
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	is.Equal(len(p.jobs), 0)
