dispatch: 'leader load' tells how many units passes try, and whether there is room

Its log did not tell whether these found no worker with room or were not reached, nor whether any could still be on time. The line now has the units that passes tried, those of them that found no worker, the waiting units that can meet their objective, that have no value any more or that a cap holds, and the free CPU of the workers.

--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -14,6 +14,7 @@
 	refusedForTrials                                             metrics.Counter // jobs
 	holds, holdsFailed, startAttempts, stopAttempts              metrics.Counter
 	passes, passMicros                                           metrics.Counter
+	unitsTried, unitsWithoutRoom                                 metrics.Counter   // attempts of passes to place units, and those that found no worker
 	reportsBeforeAck                                             metrics.Counter   // polls that only showed to which incarnation a connection leads
 	workerConnections                                            metrics.Counter   // opened to workers
 	urgentFirstStarts, urgentFirstWaitMs                         metrics.Counter   // first starts sent of jobs of the highest priority, and their waits from acceptance
@@ -21,6 +22,8 @@
 	endCommits, endCommitMicros                                  metrics.Counter   // waits for the commit of reported ends
 	unitsWaiting, workersOnTrial                                 metrics.Gauge     // in the last pass
 	unitsHeldByCap                                               metrics.Gauge     // in the last passes of all pools
+	unitsOnTime, unitsExpired                                    metrics.Gauge     // of those that wait: can meet their objective, and have no value any more
+	cpuFree, cpuCapacity                                         metrics.Gauge     // of a pool's workers that can be started on, in thousandths of a core
 	timeToFirstStart, startLatency, adviceLatency                metrics.Histogram // ms
 	jobsOverRate                                                 metrics.Counter   // accepted beyond the rate of their workspace
 	jobsRefused                                                  map[RefusalReason]metrics.Counter
@@ -55,12 +58,17 @@
 		holds:            counter("holds.sent"), holdsFailed: counter("holds.failed"),
 		startAttempts: counter("runs.start_attempts"), stopAttempts: counter("runs.stop_attempts"),
 		passes: counter("passes.run"), passMicros: counter("passes.us"),
+		unitsTried: counter("passes.units"), unitsWithoutRoom: counter("passes.units_without_room"),
 		reportsBeforeAck: counter("holds.before_ack"), workerConnections: metrics.GetOrRegisterCounter(WorkerConnectionsMetric, registry),
 		urgentFirstStarts: counter("first_starts.urgent"), urgentFirstWaitMs: counter("first_starts.urgent_wait_ms"),
 		otherFirstStarts: counter("first_starts.other"), otherFirstWaitMs: counter("first_starts.other_wait_ms"),
 		endCommits: counter("end_commits"), endCommitMicros: counter("end_commits.us"),
 		unitsHeldByCap:   metrics.GetOrRegisterGauge("dispatch.units.held_by_cap", registry),
 		unitsWaiting:     metrics.GetOrRegisterGauge("dispatch.units.waiting", registry),
+		unitsOnTime:      metrics.GetOrRegisterGauge("dispatch.units.on_time", registry),
+		unitsExpired:     metrics.GetOrRegisterGauge("dispatch.units.expired", registry),
+		cpuFree:          metrics.GetOrRegisterGauge("dispatch.workers.cpu_free", registry),
+		cpuCapacity:      metrics.GetOrRegisterGauge("dispatch.workers.cpu_capacity", registry),
 		workersOnTrial:   metrics.GetOrRegisterGauge("dispatch.workers.on_trial", registry),
 		timeToFirstStart: histogram("wait_to_order_ms"), startLatency: histogram("start_ms"), adviceLatency: histogram("advice_ms"),
 		jobsOverRate: counter("jobs.over_rate"),
--- a/internal/dispatch/load_log.go
+++ b/internal/dispatch/load_log.go
@@ -17,7 +17,8 @@
 // the last line, and the CPU time that it took. An overload that feeds itself shows as
 // attempts and failed polls that grow while the ends of runs don't. A leader that is short of
 // processor time shows as goroutines that wait to run, and as waits of urgent jobs for their first
-// start and of ends for their commit that grow together.
+// start and of ends for their commit that grow together. A pool without room shows as attempts to place
+// units that find no worker, and as cpu_free near 0; units that wait beside free CPU wait for the leader.
 func (d *Dispatcher) logLoad() {
 	logged := []struct {
 		key     string
@@ -35,6 +36,8 @@
 		{key: "advice", counter: d.counters.adviceRequests},
 		{key: "passes", counter: d.counters.passes},
 		{key: "pass_us", counter: d.counters.passMicros},
+		{key: "units_tried", counter: d.counters.unitsTried},
+		{key: "units_without_room", counter: d.counters.unitsWithoutRoom},
 		{key: "reports_before_ack", counter: d.counters.reportsBeforeAck},
 		{key: "connections", counter: d.counters.workerConnections},
 		{key: "urgent_first_starts", counter: d.counters.urgentFirstStarts},
@@ -61,7 +64,9 @@
 		runtimeLoad := runtimeMeter.Read()
 		d.Logger.Info("leader load", "cpu_ms", int64((cpu-lastCPU)*1000), "elapsed_ms", now.Sub(lastTime).Milliseconds(),
 			"gc_ms", runtimeLoad.GC.Milliseconds(), "runnable_p99_us", runtimeLoad.RunnableP99.Microseconds(),
-			"waiting_units", d.counters.unitsWaiting.Value(), slog.Group("work", work...))
+			"waiting_units", d.counters.unitsWaiting.Value(), "waiting_on_time", d.counters.unitsOnTime.Value(),
+			"waiting_expired", d.counters.unitsExpired.Value(), "waiting_held", d.counters.unitsHeldByCap.Value(),
+			"cpu_free", d.counters.cpuFree.Value(), "cpu_capacity", d.counters.cpuCapacity.Value(), slog.Group("work", work...))
 		lastCPU, lastTime = cpu, now
 	}
 }
--- a/internal/dispatch/measure_load.go
+++ b/internal/dispatch/measure_load.go
@@ -27,19 +27,37 @@
 	begin := time.Now()
 	defer func() { a.measureTime = time.Since(begin) }()
 	capacity, used, idle := p.measureWorkers(now)
+	p.recordFreeCPU(now)
 	inUse := admission.Utilization(used, capacity)
 	weight := 1 - math.Exp(-float64(now.Sub(a.measuredAt))/float64(utilizationPeriod))
 	a.utilization += weight * (inUse - a.utilization)
 	a.measuredAt = now
 	load := admission.NewLoad(capacity, max(inUse, a.utilization), idle)
+	var bands [bandExpired + 1]int64
 	for _, j := range p.jobs {
 		for _, u := range j.units {
-			p.addToLoad(load, u, now, nowUnixMs)
+			if p.addToLoad(load, u, now, nowUnixMs) {
+				bands[rankOf(u, now).band]++
+			}
 		}
 	}
+	p.d.counters.unitsOnTime.Update(bands[bandUrgent] + bands[bandOnTime])
+	p.d.counters.unitsExpired.Update(bands[bandExpired])
 	a.gate.SetLoad(now, load)
 }
 
+// recordFreeCPU records the CPU of the workers that runs may be started on, and what of it is free.
+func (p *pool) recordFreeCPU(now time.Time) {
+	var free, capacity int64
+	for _, w := range p.workerList {
+		if !w.trial && w.schedulable(now) {
+			free, capacity = free+max(0, w.free.cpu), capacity+w.capacity.cpu
+		}
+	}
+	p.d.counters.cpuFree.Update(free)
+	p.d.counters.cpuCapacity.Update(capacity)
+}
+
 // measureWorkers returns the capacity for work that ends, what of it is in use, and what is free on
 // each worker for tasks that need no trial and no reservation. There is no capacity while runs of
 // the previous leader may be unknown.
@@ -68,18 +86,19 @@
 }
 
 // addToLoad adds the unit's tasks without a run to the load. Units that wait for an earlier step
-// count, since that step's job is ahead of new ones; occurrences that are not due don't.
-func (p *pool) addToLoad(load *admission.Load, u *unit, now time.Time, nowUnixMs int64) {
+// count, since that step's job is ahead of new ones; occurrences that are not due don't. It reports whether
+// tasks were added.
+func (p *pool) addToLoad(load *admission.Load, u *unit, now time.Time, nowUnixMs int64) bool {
 	waiting := u.remaining - u.active
 	if u.remaining == 0 || u.spec.GetLongRunning() || nowUnixMs < u.dueUnixMs() {
-		return
+		return false
 	}
 	name := u.job.workspace
 	if !load.Active(name) {
 		load.Activate(name, p.d.workspace(name).GetWeight())
 	}
 	if waiting <= 0 || !u.waitsForCapacity(now) {
-		return
+		return false
 	}
 	r := rankOf(u, now)
 	remaining := 0.0
@@ -91,6 +110,7 @@
 		Slack: r.latestStart.Sub(now), Remaining: remaining,
 		Work: u.remainingWork(waiting, p.loadAdmission.ratios.Mean(u.job.queue.GetName())),
 	})
+	return true
 }
 
 // waitsForCapacity reports whether, in the pass at the time, the unit's tasks may start on any worker with
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -132,6 +132,10 @@
 		p.releaseReservation(u) // its workers are not on trial
 	}
 	candidates := p.candidates(u, now)
+	p.d.counters.unitsTried.Inc(1)
+	if len(candidates) == 0 {
+		p.d.counters.unitsWithoutRoom.Inc(1)
+	}
 	var placed []placement
 	if u.spec.GetGang() {
 		placed = p.placeGang(u, waiting, candidates)
