dispatch: passes leave out units for which nothing has changed

Cause: each scheduling pass tried to place each waiting unit. With 3,500 of them a pass took 0.1 s of the leader's processor, five passes a second took half of it or more, and 97 % of 9,000 to 15,000 attempts a second found no worker, while up to a quarter of the workers' CPU was free. Starts, ends and advice, which would have worked the backlog off, had to wait. Class: a cost that grows with the backlog, paid by the process that has to work it off.

Change: a unit that could not be placed is parked. It returns by what decides on it: more room on a worker that it may use, time of the policy service, its cap, its own state; and after a time that grows with the number of parked units, for what passes with the time alone. A unit that returns is checked again before it is tried, as others may have taken the room. Urgent jobs accepted lately get passes of their own, whose length does not depend on what else waits.

--- a/internal/dispatch/account.go
+++ b/internal/dispatch/account.go
@@ -2,6 +2,7 @@
 
 // account is what the ledger counts of one workspace. The ledger's lock guards it.
 type account struct {
+	workspace string
 	runs      resources // of counted runs
 	runCount  int
 	inherited map[*pool]inheritedUsage // nil: none
@@ -79,6 +80,7 @@
 // the cap still does not permit them.
 func (a *account) requestPasses() {
 	for p := range a.holding {
+		p.releasedCaps.add(a.workspace)
 		p.requestPass()
 	}
 	a.holding = nil
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -18,6 +18,9 @@
 	fruitlessCalls int                 // consecutive calls after which no task could be started; at most maxFruitlessCalls
 	tickets        map[*worker]*ticket // workers asked about; a nil ticket means denied
 	allowedTickets []*ticket           // the tickets that are not nil
+	allowedWorkers workerSet           // their workers
+	deferred       bool                // in the last attempt to place the unit, a call could not be made
+	exhausted      bool                // in that attempt, there was no worker to ask about
 }
 
 // ticket permits the unit's tasks to start on one incarnation of a worker.
@@ -89,6 +92,7 @@
 			t = &ticket{worker: w, value: value, expires: expires}
 			a.tickets[w] = t
 			a.allowedTickets = append(a.allowedTickets, t)
+			a.allowedWorkers.add(w)
 		case t == nil:
 			a.tickets[w] = nil
 		}
@@ -193,22 +197,39 @@
 	return u.rank.band
 }
 
-// advisorAvailable reports whether the shortest call for the unit could be made now. If
-// not, the next attempt is postponed: with many waiting units, choosing the workers for
-// calls that can't be made would take most of a pass.
-func (p *pool) advisorAvailable(u *unit, now time.Time) bool {
-	if p.d.advisorPool.available(now, adviceCost(u.job.queue.GetPolicy(), minWorkersPerCall), u.adviceBand()) {
+// advisorAvailable reports whether the shortest call for the unit could be made now.
+func (p *pool) advisorAvailable(u *unit, pass *passState) bool {
+	cost := adviceCost(u.job.queue.GetPolicy(), minWorkersPerCall)
+	known := &pass.advisors[u.adviceBand()][count(cost < longCallCost)]
+	if *known == advisorsUnknown {
+		*known = advisorsBusy
+		if p.d.advisorPool.available(pass.now, cost, u.adviceBand()) {
+			*known = advisorsFree
+		}
+	}
+	return *known == advisorsFree
+}
+
+// mayAsk reports whether a call to the policy service may be made for the unit now. If one may only be made later,
+// the unit waits for that.
+func (p *pool) mayAsk(u *unit, pass *passState) bool {
+	if u.job.queue.GetPolicy() == nil || u.advice.callsInFlight >= maxAdviceCallsPerUnit {
+		return false
+	}
+	if u.needsAdvice(pass.now) && p.advisorAvailable(u, pass) {
 		return true
 	}
 	p.d.counters.adviceDeferred.Inc(1)
-	u.advice.retryAt = now.Add(minAdviceRetry)
+	u.advice.deferred = true
 	return false
 }
 
 // requestAdvice starts a call to the policy service for the unit, or postpones it
 // if no advisor is available soon enough. The caller holds the lock.
-func (p *pool) requestAdvice(u *unit, workers []*worker, now time.Time) {
+func (p *pool) requestAdvice(u *unit, workers []*worker, pass *passState) {
+	now := pass.now
 	if len(workers) == 0 {
+		u.advice.exhausted = true
 		u.advice.retryAt = now.Add(minAdviceRetry)
 		return
 	}
@@ -216,9 +237,11 @@
 	address, answer, ok := p.d.advisorPool.pick(now, cost, u.adviceBand())
 	if !ok {
 		p.d.counters.adviceDeferred.Inc(1)
+		u.advice.deferred = true
 		u.advice.retryAt = now.Add(minAdviceRetry)
 		return
 	}
+	pass.forgetFreeAdvisors()
 	u.advice.callsInFlight++
 	p.d.counters.adviceRequests.Inc(1)
 	p.d.counters.adviceWorkersNamed.Inc(int64(len(workers)))
@@ -246,6 +269,7 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	u, address := call.unit, call.address
+	u.unpark()
 	u.advice.callsInFlight--
 	u.advice.retryAt = now.Add(min(minAdviceRetry<<u.advice.fruitlessCalls, maxAdviceRetry))
 	u.advice.fruitlessCalls = min(u.advice.fruitlessCalls+1, maxFruitlessCalls)
@@ -270,6 +294,9 @@
 	p.d.Logger.Info("advice received", "step", u.name(), "asked", len(call.workers), "allowed", len(values),
 		"allowed_in_all", len(u.advice.allowedTickets), "took_ms", now.Sub(call.sentAt).Milliseconds())
 	p.updateAllowedShare(u.job.queue.GetName(), len(call.workers), len(values))
+	if u.rank.band == bandUrgent && !u.rank.overRate {
+		p.requestUrgentPass()
+	}
 	p.requestPass()
 }
 
--- a/internal/dispatch/cap_pass.go
+++ b/internal/dispatch/cap_pass.go
@@ -16,7 +16,7 @@
 func (p *pool) withoutHeld(waiting []*unit, pass *passState) []*unit {
 	var rest []*unit
 	for i, u := range waiting {
-		held := u.job.workspace != "" && p.isHeldByCap(u, pass)
+		held := u.job.workspace != "" && u.parking == nil && p.isHeldByCap(u, pass)
 		if held && rest == nil {
 			rest = append(make([]*unit, 0, len(waiting)), waiting[:i]...)
 		}
@@ -30,10 +30,8 @@
 	return rest
 }
 
-// isHeldByCap reports whether the cap of its workspace holds back all of the unit's tasks, and counts
-// the unit as waiting.
+// isHeldByCap reports whether the cap of its workspace holds back all of the unit's tasks, and parks it then.
 func (p *pool) isHeldByCap(u *unit, pass *passState) bool {
-	pass.countWaiting(u.job.workspace, waitingWork{units: 1})
 	tasks := 1
 	if u.spec.GetGang() {
 		if u.active > 0 {
@@ -45,6 +43,7 @@
 		return false
 	}
 	p.holdUnit(u, tasks, true, pass)
+	p.park(u, 0, pass)
 	return true
 }
 
@@ -73,13 +72,28 @@
 	return placed[:permitted]
 }
 
-// recordWaiting records what waits for each workspace after a pass.
-func (p *pool) recordWaiting(pass *passState) {
-	if pass.waiting == nil && !p.workspacesWaited {
+// recordWaiting records what waits for each workspace in a pass that has looked at the units.
+func (p *pool) recordWaiting(units []*unit, pass *passState) {
+	waiting := make(map[string]waitingWork)
+	for workspace, sums := range p.parked {
+		if workspace != "" {
+			waiting[workspace] = waitingWork{units: sums.units, held: sums.heldUnits}
+		}
+	}
+	for _, u := range units {
+		if u.job.workspace == "" || u.parking != nil {
+			continue
+		}
+		sum := waiting[u.job.workspace]
+		sum.units++
+		sum.held += count(u.heldAt.Equal(pass.now))
+		waiting[u.job.workspace] = sum
+	}
+	if len(waiting) == 0 && !p.workspacesWaited {
 		return
 	}
-	p.workspacesWaited = pass.waiting != nil
-	p.d.counters.unitsHeldByCap.Update(int64(p.d.ledger.recordWaiting(p, pass.waiting)))
+	p.workspacesWaited = len(waiting) > 0
+	p.d.counters.unitsHeldByCap.Update(int64(p.d.ledger.recordWaiting(p, waiting)))
 }
 
 // holdUnit handles that the cap of its workspace holds back so many of the unit's tasks. If these are all
@@ -93,10 +107,7 @@
 		p.releaseReservation(u)
 		pass.reserved = nil
 	}
-	if !u.heldAt.Equal(pass.now) {
-		u.heldAt = pass.now
-		pass.countWaiting(u.job.workspace, waitingWork{held: 1})
-	}
+	u.heldAt = pass.now
 	if pass.now.Sub(u.heldLoggedAt) < waitLogInterval {
 		return
 	}
@@ -117,6 +128,7 @@
 		return
 	}
 	t.mayBeRunning = mayBeRunning
+	t.unit.unpark()
 	p.d.ledger.inherit(p, t.unit, mayBeRunning)
 }
 
--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -14,6 +14,7 @@
 	refusedForTrials                                             metrics.Counter // jobs
 	holds, holdsFailed, startAttempts, stopAttempts              metrics.Counter
 	passes, passMicros                                           metrics.Counter
+	urgentPasses, urgentPassMicros                               metrics.Counter
 	unitsTried, unitsWithoutRoom                                 metrics.Counter   // attempts of passes to place units, and those that found no worker
 	reportsBeforeAck                                             metrics.Counter   // polls that only showed to which incarnation a connection leads
 	workerConnections                                            metrics.Counter   // opened to workers
@@ -58,6 +59,7 @@
 		holds:            counter("holds.sent"), holdsFailed: counter("holds.failed"),
 		startAttempts: counter("runs.start_attempts"), stopAttempts: counter("runs.stop_attempts"),
 		passes: counter("passes.run"), passMicros: counter("passes.us"),
+		urgentPasses: counter("urgent_passes.run"), urgentPassMicros: counter("urgent_passes.us"),
 		unitsTried: counter("passes.units"), unitsWithoutRoom: counter("passes.units_without_room"),
 		reportsBeforeAck: counter("holds.before_ack"), workerConnections: metrics.GetOrRegisterCounter(WorkerConnectionsMetric, registry),
 		urgentFirstStarts: counter("first_starts.urgent"), urgentFirstWaitMs: counter("first_starts.urgent_wait_ms"),
--- a/internal/dispatch/crash_record.go
+++ b/internal/dispatch/crash_record.go
@@ -103,6 +103,7 @@
 	}
 	t.crashUnrecorded = false
 	u := t.unit
+	u.unpark()
 	queue := u.job.queue.GetName()
 	if end.GetAttributed() && !u.likelyCulprit() {
 		p.recordTested(queue, now)
@@ -140,6 +141,7 @@
 	}
 	if !c.active(at) {
 		p.d.Logger.Warn("queue contained", "queue", queue, "service", p.service)
+		p.unparkQueue(queue)
 	}
 	c.recordCrash(at)
 }
--- a/internal/dispatch/ledger.go
+++ b/internal/dispatch/ledger.go
@@ -65,7 +65,7 @@
 func (l *ledger) account(workspace string) *account {
 	a := l.workspaces[workspace]
 	if a == nil {
-		a = &account{}
+		a = &account{workspace: workspace}
 		l.workspaces[workspace] = a
 	}
 	return a
@@ -226,6 +226,13 @@
 	l.unknownRunsUntil = now.Add(unknownRunsPeriod)
 }
 
+// settledAt returns when the time ends during which runs are not known whose jobs had finished before the takeover.
+func (l *ledger) settledAt() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.unknownRunsUntil
+}
+
 // recordWaiting records what waits in the pool after a pass, by workspace, and returns how many units
 // of all pools wait for caps.
 func (l *ledger) recordWaiting(p *pool, waiting map[string]waitingWork) int {
--- a/internal/dispatch/load_admission_test.go
+++ b/internal/dispatch/load_admission_test.go
@@ -134,7 +134,7 @@
 			submitted.AcceptedUnixMs = now.Add(time.Duration(i)*time.Millisecond - age).UnixMilli()
 			p.addAcceptedJob(newJob(&apiv1.JobProgress{Job: submitted}, now, now.UnixMilli()))
 		}
-		waiting := p.waitingUnits(now, now.UnixMilli())
+		waiting := p.waitingUnits(p.newPassState(now), now.UnixMilli())
 		slices.SortFunc(waiting, compareUnits) // as a pass does
 		var ids []string
 		for _, u := range waiting {
--- a/internal/dispatch/load_log.go
+++ b/internal/dispatch/load_log.go
@@ -36,6 +36,8 @@
 		{key: "advice", counter: d.counters.adviceRequests},
 		{key: "passes", counter: d.counters.passes},
 		{key: "pass_us", counter: d.counters.passMicros},
+		{key: "urgent_passes", counter: d.counters.urgentPasses},
+		{key: "urgent_pass_us", counter: d.counters.urgentPassMicros},
 		{key: "units_tried", counter: d.counters.unitsTried},
 		{key: "units_without_room", counter: d.counters.unitsWithoutRoom},
 		{key: "reports_before_ack", counter: d.counters.reportsBeforeAck},
--- a/internal/dispatch/losses.go
+++ b/internal/dispatch/losses.go
@@ -51,6 +51,7 @@
 	for confirmed < len(p.losses) && p.losses[confirmed].since.Monotonic <= roundStart.Monotonic {
 		if l := p.losses[confirmed]; l.task != nil {
 			l.task.unconfirmedLosses--
+			l.task.unit.unpark()
 		} else {
 			p.markReconciled(l.worker)
 		}
--- a/internal/dispatch/measure_load.go
+++ b/internal/dispatch/measure_load.go
@@ -117,5 +117,5 @@
 // room. Those of units on trial wait for trial workers, which serve no other work, and some
 // wait for the cap of their workspace.
 func (u *unit) waitsForCapacity(now time.Time) bool {
-	return !u.risk.onTrial() && !u.heldAt.Equal(now)
+	return !u.risk.onTrial() && !u.heldAt.Equal(now) && (u.parking == nil || !u.parking.held)
 }
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -21,21 +21,28 @@
 	}
 	now := time.Now()
 	nowUnixMs := p.d.nowUnixMs()
-	state := &passState{now: now}
-	waiting := p.waitingUnits(now, nowUnixMs)
-	p.d.counters.unitsWaiting.Update(int64(len(waiting)))
-	waiting = p.withoutHeld(waiting, state)
-	defer p.recordWaiting(state)
-	p.rankByShares(waiting, state)
+	pass := p.newPassState(now)
+	defer p.recordRoom(pass)
+	found := p.waitingUnits(pass, nowUnixMs)
+	waiting := p.withoutHeld(found, pass)
+	defer p.recordWaiting(found, pass)
+	p.d.counters.unitsWaiting.Update(int64(p.countWaiting(found)))
+	p.shares = p.computeShares(waiting)
+	p.rankByShares(waiting, pass)
 	slices.SortFunc(waiting, compareUnits)
-	p.chooseTrialWorkers(waiting, now)
+	p.chooseTrialWorkers(waiting, pass.harmlessWaits, now)
 	defer p.measureLoad(now, nowUnixMs)
-	if p.shares != nil {
-		p.placeByShares(waiting, state)
+	p.placeAll(waiting, pass)
+}
+
+// placeAll places the units, which are sorted.
+func (p *pool) placeAll(units []*unit, pass *passState) {
+	if pass.shares != nil {
+		p.placeByShares(units, pass)
 		return
 	}
-	for _, u := range waiting {
-		if !p.placeNext(u, state) {
+	for _, u := range units {
+		if !p.placeNext(u, pass) {
 			return
 		}
 	}
@@ -45,35 +52,30 @@
 // wait for slots.
 func (p *pool) placeNext(u *unit, pass *passState) bool {
 	if p.d.orderSlots.room() <= 0 {
+		pass.cut = true
 		p.d.cutPasses.add(p)
 		p.d.resumeCutPasses() // the last start may have ended meanwhile
 		return false
 	}
+	if u.parking != nil {
+		if !p.canProceed(u, pass) {
+			return true
+		}
+		u.unpark()
+	}
 	if !p.d.contain("the placement of a unit", u.name(), func() { p.placeUnit(u, pass) }) {
 		u.suspendedUntil = pass.now.Add(panicBackoff)
 	}
 	return true
 }
 
-// waitingUnits returns the ready units with tasks that can be started, ranked but not sorted. For units
-// that are not ready it requests advice ahead.
-func (p *pool) waitingUnits(now time.Time, nowUnixMs int64) []*unit {
+// waitingUnits returns the ready units with tasks that can be started, ranked but not sorted, without the parked
+// ones that can't return in the pass. For units that are not ready it requests advice ahead.
+func (p *pool) waitingUnits(pass *passState, nowUnixMs int64) []*unit {
 	var found []*unit
 	for _, j := range p.jobs {
 		for _, u := range j.units {
-			if u.remaining == 0 || now.Before(u.suspendedUntil) {
-				continue
-			}
-			if !u.ready(nowUnixMs) {
-				p.requestAdviceAhead(u, now, nowUnixMs)
-				continue
-			}
-			if u.hasPendingTask(now) {
-				u.rank, u.risk = rankOf(u, now), p.riskOf(u, now)
-				u.rank.work = p.lateOrder(u)
-				if u.waitingSince.IsZero() {
-					u.waitingSince = now
-				}
+			if p.waitsInPass(u, pass, nowUnixMs) {
 				found = append(found, u)
 			}
 		}
@@ -81,9 +83,47 @@
 	return found
 }
 
+// waitsInPass reports whether the pass has to place the unit, and ranks it then.
+func (p *pool) waitsInPass(u *unit, pass *passState, nowUnixMs int64) bool {
+	now := pass.now
+	if u.remaining == 0 || now.Before(u.suspendedUntil) {
+		return false
+	}
+	if u.parking != nil && !p.mayReturn(u, pass) {
+		pass.harmlessWaits = pass.harmlessWaits || (!u.parking.heldAll && now.Sub(u.waitingSince) > harmlessWait)
+		return false
+	}
+	if !u.ready(nowUnixMs) {
+		p.requestAdviceAhead(u, pass, nowUnixMs)
+		return false
+	}
+	if u.parking == nil && !u.hasPendingTask(now) {
+		return false
+	}
+	u.rank, u.risk = rankOf(u, now), p.riskOf(u, now)
+	u.rank.work = p.lateOrder(u)
+	if u.waitingSince.IsZero() {
+		u.waitingSince = now
+	}
+	return true
+}
+
+// countWaiting returns the number of units that wait, given those that a pass has found.
+func (p *pool) countWaiting(found []*unit) int {
+	waiting := 0
+	for _, parked := range p.parkedUnits {
+		waiting += parked
+	}
+	for _, u := range found {
+		waiting += count(u.parking == nil)
+	}
+	return waiting
+}
+
 // requestAdviceAhead requests advice for a unit that becomes ready within the
 // duration of a call, so that the advice has arrived by then.
-func (p *pool) requestAdviceAhead(u *unit, now time.Time, nowUnixMs int64) {
+func (p *pool) requestAdviceAhead(u *unit, pass *passState, nowUnixMs int64) {
+	now := pass.now
 	if !u.needsAdvice(now) || u.advice.tickets != nil {
 		return
 	}
@@ -92,7 +132,7 @@
 		return
 	}
 	u.rank, u.risk = rankOf(u, now), p.riskOf(u, now)
-	p.requestAdvice(u, p.workersToAskAbout(u, int(u.spec.GetCount()), now), now)
+	p.requestAdvice(u, p.workersToAskAbout(u, int(u.spec.GetCount()), now), pass)
 }
 
 // dependenciesDoneWithin reports whether all tasks that the unit depends on are
@@ -120,12 +160,14 @@
 	if len(waiting) == 0 {
 		return // a gang of which some member still has a run or is backing off
 	}
+	u.advice.deferred, u.advice.exhausted = false, false
 	if room := p.d.orderSlots.room(); !u.spec.GetGang() && int64(len(waiting)) > room {
 		waiting = waiting[:max(0, room)]
 		p.d.cutPasses.add(p)
 	}
 	waiting = p.cutToShare(u, waiting, pass)
 	if waiting = p.cutToCap(u, waiting, pass); len(waiting) == 0 {
+		p.park(u, 0, pass)
 		return
 	}
 	if u.risk.onTrial() {
@@ -160,8 +202,11 @@
 	case unplaced == 0:
 	case u.spec.GetGang() && !u.risk.onTrial():
 		p.reserveForGang(u, unplaced, pass)
-	case u.needsAdvice(now) && p.advisorAvailable(u, now):
-		p.requestAdvice(u, p.workersToAskAbout(u, unplaced, now), now)
+	case p.mayAsk(u, pass):
+		p.requestAdvice(u, p.workersToAskAbout(u, unplaced, now), pass)
+	}
+	if unplaced > 0 || u.heldAt.Equal(now) {
+		p.park(u, unplaced, pass)
 	}
 }
 
@@ -180,16 +225,15 @@
 // requestGangAdvice requests the advice that the gang needs after an attempt to reserve
 // workers, if a call can be made now.
 func (p *pool) requestGangAdvice(u *unit, tasks int, outcome reservationOutcome, pass *passState) {
-	if !u.needsAdvice(pass.now) || !p.advisorAvailable(u, pass.now) {
-		return
-	}
 	switch outcome {
 	case reservationHeld:
-		if missing := p.withoutTicket(u, tasks, pass.now); len(missing) > 0 {
-			p.requestAdvice(u, missing, pass.now)
+		if missing := p.withoutTicket(u, tasks, pass.now); len(missing) > 0 && p.mayAsk(u, pass) {
+			p.requestAdvice(u, missing, pass)
 		}
 	case reservationTooFewWorkers:
-		p.requestAdvice(u, p.newWorkersToAskAbout(u, maxWorkersPerCall, tasks, pass.now), pass.now)
+		if p.mayAsk(u, pass) {
+			p.requestAdvice(u, p.newWorkersToAskAbout(u, maxWorkersPerCall, tasks, pass.now), pass)
+		}
 	}
 }
 
--- a/internal/dispatch/pass_bench_test.go
+++ b/internal/dispatch/pass_bench_test.go
@@ -111,3 +111,41 @@
 	}
 	return p
 }
+
+// BenchmarkPassWithTurnover measures a pass over a long backlog, between two of which a hundred runs end. Each leaves room
+// for one of the tasks that wait, and most tickets have expired.
+func BenchmarkPassWithTurnover(b *testing.B) {
+	const workers, gangs, singles, workspaces, ends = 350, 800, 2200, 20, 100
+	p := fullPool(workers)
+	catalog := &apiv1.Catalog{Version: 1}
+	for i := range workspaces {
+		catalog.Workspaces = append(catalog.Workspaces, weightedWorkspace(fmt.Sprint(i), 1))
+	}
+	p.d.Table.Apply(0, &apiv1.JobsCommand{Catalog: catalog})
+	fillBacklog(p, gangs, singles, func(i int) string { return fmt.Sprint(i % workspaces) })
+	random := rand.New(rand.NewSource(1))
+	for _, j := range p.jobs {
+		for _, t := range j.units[0].advice.allowedTickets {
+			if random.Intn(4) > 0 {
+				t.expires = time.Time{}
+			}
+		}
+	}
+	p.runPass()
+	b.ResetTimer()
+	for range b.N {
+		for range ends {
+			w := p.workerList[random.Intn(workers)]
+			for _, r := range w.runs {
+				w.removeRun(r)
+				if r.task.run == r {
+					r.task.setRun(nil)
+				}
+				break
+			}
+		}
+		p.runPass()
+	}
+	b.ReportMetric(float64(p.d.counters.unitsTried.Count())/float64(b.N), "tries/op")
+	b.ReportMetric(float64(p.d.counters.startsSent.Count())/float64(b.N), "starts/op")
+}
--- a/internal/dispatch/pass_order.go
+++ b/internal/dispatch/pass_order.go
@@ -11,9 +11,8 @@
 		cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.step, b.step))
 }
 
-// rankByShares computes the pool's shares and ranks the units by them.
+// rankByShares ranks the units by the pool's shares.
 func (p *pool) rankByShares(waiting []*unit, pass *passState) {
-	p.shares = p.computeShares(waiting)
 	pass.shares = p.shares
 	if p.shares == nil {
 		return
--- a/internal/dispatch/pass_state.go
+++ b/internal/dispatch/pass_state.go
@@ -6,22 +6,62 @@
 type passState struct {
 	now            time.Time
 	cachedForecast *forecast
-	reserved       []int                  // number of workers reserved by units of each band; nil: not counted yet
-	shares         *poolShares            // nil: no unit of a workspace waits
-	withinShare    bool                   // the unit that is placed may use no more than the share of its workspace
-	cutByShare     bool                   // that has left out some of its tasks
-	waiting        map[string]waitingWork // by workspace; nil: no unit of any waits
+	reserved       []int               // number of workers reserved by units of each band; nil: not counted yet
+	shares         *poolShares         // nil: no unit of a workspace waits
+	withinShare    bool                // the unit that is placed may use no more than the share of its workspace
+	cutByShare     bool                // that has left out some of its tasks
+	grown          []*worker           // workers with more room than at the end of the last pass
+	mostGrown      resources           // the most of each resource that is free on any of them
+	opened         []*worker           // of the grown workers, those that did not take runs of some units whatever was free
+	catalogChanged bool                // since the last pass
+	released       map[string]struct{} // workspaces whose caps may permit more than in the last pass
+	harmlessWaits  bool                // a parked unit has waited for workers for harmlessWait
+	cut            bool                // not all units that wait are tried
+	advisors       [bandExpired + 1][2]advisorState
 }
 
-// countWaiting adds to what waits for the workspace.
-func (s *passState) countWaiting(workspace string, work waitingWork) {
-	if s.waiting == nil {
-		s.waiting = make(map[string]waitingWork)
+// advisorState is what a pass knows of the calls that the policy service could take now, by the band of their units
+// and by whether they are shorter than longCallCost.
+type advisorState int
+
+const (
+	advisorsUnknown advisorState = iota
+	advisorsFree
+	advisorsBusy // for the rest of the pass
+)
+
+// newPassState returns the state of a pass that begins now and looks at all units, with what has changed since the last one.
+func (p *pool) newPassState(now time.Time) *passState {
+	catalog := p.d.Table.Catalog()
+	pass := p.newUrgentPassState(now)
+	pass.cut = false
+	pass.catalogChanged, pass.released = catalog != p.catalog, p.releasedCaps.takeAll()
+	p.catalog = catalog
+	return pass
+}
+
+// newUrgentPassState returns the state of a pass that looks at urgent units only.
+func (p *pool) newUrgentPassState(now time.Time) *passState {
+	pass := &passState{now: now, cut: true}
+	p.findGrown(pass)
+	return pass
+}
+
+// capReleased reports whether the cap of the workspace may permit more than in the last pass.
+func (s *passState) capReleased(workspace string) bool {
+	_, released := s.released[workspace]
+	return released || s.catalogChanged
+}
+
+// forgetFreeAdvisors makes the pass look again whether a further call could be made.
+func (s *passState) forgetFreeAdvisors() {
+	for i := range s.advisors {
+		for j, state := range s.advisors[i] {
+			if state == advisorsFree {
+				s.advisors[i][j] = advisorsUnknown
+			}
+		}
 	}
-	sum := s.waiting[workspace]
-	sum.units += work.units
-	sum.held += work.held
-	s.waiting[workspace] = sum
 }
 
 // reservedWorkers returns how many of the workers are reserved by units of band
--- a/internal/dispatch/pass_times.go
+++ b/internal/dispatch/pass_times.go
@@ -24,3 +24,49 @@
 	rest := min(passRestFactor*l.end.Sub(l.begin), maxPassRest)
 	return max(minPassDelay, l.end.Add(rest).Sub(now))
 }
+
+// length returns how long the pass took.
+func (l passTimes) length() time.Duration { return l.end.Sub(l.begin) }
+
+// passSchedule tells when the next pass of a kind begins.
+type passSchedule struct {
+	timer     *time.Timer   // fires when the next pass is due
+	idle      time.Duration // after a pass, until one that nothing requests; 0: there is none
+	requested bool
+	last      passTimes
+}
+
+func newPassSchedule(idle time.Duration) *passSchedule {
+	s := &passSchedule{timer: time.NewTimer(idle), idle: idle}
+	if idle == 0 {
+		s.timer.Stop()
+	}
+	return s
+}
+
+// request makes the next pass due as soon as the last one permits.
+func (s *passSchedule) request(now time.Time) {
+	if !s.requested {
+		s.requested = true
+		s.timer.Reset(s.last.delay(now))
+	}
+}
+
+// cancel withdraws a request.
+func (s *passSchedule) cancel() {
+	if s.requested {
+		s.requested = false
+		s.timer.Stop()
+	}
+}
+
+// run executes a pass that is due.
+func (s *passSchedule) run(pass func()) {
+	s.requested = false
+	s.last.begin = time.Now()
+	pass()
+	s.last.end = time.Now()
+	if s.idle > 0 {
+		s.timer.Reset(s.idle)
+	}
+}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -5,6 +5,7 @@
 	"time"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/state/jobs"
 )
 
 // pool holds the workers of a service and the unfinished jobs that run on them.
@@ -18,14 +19,16 @@
 //     its lease has expired. If the worker's incarnation has ended, its runs move
 //     to the next one under the same id, until that has listed its own.
 type pool struct {
-	d       *Dispatcher
-	service string
-	wakeup  chan struct{} // requests a scheduling pass
+	d            *Dispatcher
+	service      string
+	wakeup       chan struct{} // requests a scheduling pass
+	urgentWakeup chan struct{} // requests one for urgent units
 
 	mu            sync.Mutex          // guards the fields below and all workers, jobs, units, tasks and runs
 	workers       map[string]*worker  // by id
 	workerList    []*worker           // the same workers
 	jobs          map[string]*job     // unfinished jobs, by id
+	urgentJobs    []*job              // those that may have urgent units, and some that had
 	allowedShares map[string]float64  // by queue; see allowedShare
 	responseTimer retransmissionTimer // of start requests
 	// unreconciled holds the ids of workers on which the previous leader may have
@@ -36,9 +39,15 @@
 	departed         map[string]*job
 	workspacesWaited bool // units of workspaces waited in the last pass
 	// occupied is what the runs of each workspace use, but for those that are being stopped.
-	occupied    map[string]resources
-	shares      *poolShares // of the current pass; nil: no unit of a workspace waits
-	trialsInUse bool        // the last pass kept trial workers, or none has taken place
+	occupied map[string]resources
+	shares   *poolShares // of the current pass; nil: no unit of a workspace waits
+	// parked are sums over the units that passes leave out, by workspace, and parkedUnits their numbers by class.
+	parked       map[string]parkedSums
+	parkedUnits  [parkingClasses]int
+	slots        workerSlots
+	catalog      *jobs.Catalog // of the last pass
+	releasedCaps releasedCaps
+	trialsInUse  bool // the last pass kept trial workers, or none has taken place
 	// containments holds the queues whose tasks have crashed workers, by name.
 	containments    map[string]*containment
 	crashedWorkers  crashedWorkers
@@ -52,9 +61,9 @@
 
 func newPool(d *Dispatcher, service string) *pool {
 	return &pool{
-		d: d, service: service, wakeup: make(chan struct{}, 1),
+		d: d, service: service, wakeup: make(chan struct{}, 1), urgentWakeup: make(chan struct{}, 1),
 		workers: make(map[string]*worker), jobs: make(map[string]*job),
-		allowedShares: make(map[string]float64), unreconciled: make(map[string]time.Time), departed: make(map[string]*job), occupied: make(map[string]resources),
+		allowedShares: make(map[string]float64), unreconciled: make(map[string]time.Time), departed: make(map[string]*job), occupied: make(map[string]resources), parked: make(map[string]parkedSums),
 		trialsInUse: true, loadAdmission: newLoadAdmission(d.AdmitsByLoad),
 		containments: make(map[string]*containment), crashedWorkers: make(crashedWorkers), silentLosses: make(silentLosses),
 	}
@@ -70,25 +79,27 @@
 
 // run executes scheduling passes until the term ends.
 func (p *pool) run() {
-	idle := time.NewTimer(idlePassInterval)
-	defer idle.Stop()
-	var last passTimes
+	all, urgent := newPassSchedule(idlePassInterval), newPassSchedule(0)
+	defer all.timer.Stop()
+	defer urgent.timer.Stop()
 	for {
 		select {
 		case <-p.d.ctx.Done():
 			return
 		case <-p.wakeup:
-			if sleep(p.d.ctx, last.delay(time.Now())) != nil {
-				return
-			}
-		case <-idle.C:
+			all.request(time.Now())
+		case <-p.urgentWakeup:
+			urgent.request(time.Now())
+		case <-all.timer.C:
+			urgent.cancel()
+			all.run(func() { p.d.contain("a scheduling pass", p.service, p.runPass) })
+			p.d.counters.passes.Inc(1)
+			p.d.counters.passMicros.Inc(all.last.length().Microseconds())
+		case <-urgent.timer.C:
+			urgent.run(func() { p.d.contain("a pass for urgent units", p.service, p.runUrgentPass) })
+			p.d.counters.urgentPasses.Inc(1)
+			p.d.counters.urgentPassMicros.Inc(urgent.last.length().Microseconds())
 		}
-		last.begin = time.Now()
-		p.d.contain("a scheduling pass", p.service, p.runPass)
-		last.end = time.Now()
-		p.d.counters.passes.Inc(1)
-		p.d.counters.passMicros.Inc(last.end.Sub(last.begin).Microseconds())
-		idle.Reset(idlePassInterval)
 	}
 }
 
@@ -138,6 +149,7 @@
 			p.setMayBeRunning(t, startable && !t.done)
 		}
 	}
+	p.addUrgent(j)
 	p.requestPass()
 }
 
@@ -213,6 +225,7 @@
 	p.keepDeparted(j)
 	for _, u := range j.units {
 		p.releaseReservation(u)
+		u.unpark()
 		for _, t := range u.tasks {
 			if t.run != nil {
 				p.stopRun(t.run, reason)
--- a/internal/dispatch/pool_shares.go
+++ b/internal/dispatch/pool_shares.go
@@ -47,8 +47,17 @@
 // demandOfWorkspaces returns what each workspace uses and waits for in the pool, or nil if none waits.
 func (p *pool) demandOfWorkspaces(waiting []*unit) map[string]resources {
 	var demand map[string]resources
+	for workspace, sums := range p.parked {
+		if workspace == "" || sums.demand == (resources{}) {
+			continue
+		}
+		if demand == nil {
+			demand = make(map[string]resources)
+		}
+		demand[workspace] = sums.demand
+	}
 	for _, u := range waiting {
-		if u.job.workspace == "" {
+		if u.job.workspace == "" || u.parking != nil {
 			continue
 		}
 		if demand == nil {
--- a/internal/dispatch/pool_workers.go
+++ b/internal/dispatch/pool_workers.go
@@ -18,6 +18,7 @@
 	w.cancel = cancel
 	p.workers[record.GetId()] = w
 	p.workerList = append(p.workerList, w)
+	w.slot = p.slots.take()
 	p.d.workerCount.Add(1)
 	p.resumeAfterSilence(w, time.Now())
 	p.d.spawn(func() { p.holdLoop(ctx, w) })
@@ -143,6 +144,7 @@
 		delete(p.workers, w.record.GetId())
 	}
 	p.workerList = slices.DeleteFunc(p.workerList, func(other *worker) bool { return other == w })
+	p.slots.release(w.slot)
 	if ends := w.uncommitted; len(ends) > 0 {
 		p.d.spawn(func() { p.commitEndsOfLost(w, ends) })
 	}
--- a/internal/dispatch/reservation.go
+++ b/internal/dispatch/reservation.go
@@ -67,7 +67,7 @@
 		return reservationNone
 	}
 	u.nextReservation = pass.now.Add(reservationRetry)
-	limit := int(maxReservedShare * float64(len(p.workerList)))
+	limit := p.maxReserved()
 	reserved := pass.reservedWorkers(p.workerList, u.rank.reservationBand())
 	available := p.reservableWorkers(u, pass.now)
 	if totalFit(available, u) < tasks {
@@ -98,6 +98,9 @@
 	return reservationHeld
 }
 
+// maxReserved returns how many workers waiting gangs may reserve, see maxReservedShare.
+func (p *pool) maxReserved() int { return int(maxReservedShare * float64(len(p.workerList))) }
+
 // holdReservation reserves the workers for the unit. Reservations of gangs of worse bands
 // on them are released.
 func (p *pool) holdReservation(u *unit, workers []*worker, expectedStart time.Time) {
@@ -153,10 +156,11 @@
 	}
 	for _, w := range u.reservation.workers {
 		if w.reservedFor == u {
-			w.reservedFor = nil
+			w.reservedFor, w.grewInPass = nil, true
 		}
 	}
 	u.reservation = nil
+	u.unpark()
 }
 
 // awaitsAdvice reports whether a call to the policy service for the unit is in flight or may
--- a/internal/dispatch/resources.go
+++ b/internal/dispatch/resources.go
@@ -85,4 +85,7 @@
 // is free.
 func (r resources) overcommitted() bool { return r.cpu < 0 || r.memory < 0 || r.accelerators < 0 }
 
-func (r resources) fits(o resources) bool { return r.fitCount(o) > 0 }
+// fits reports whether fitCount is not 0.
+func (r resources) fits(o resources) bool {
+	return !r.overcommitted() && r.cpu >= o.cpu && r.memory >= o.memory && r.accelerators >= o.accelerators
+}
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -36,6 +36,7 @@
 
 // setRun sets the task's current run; nil: it has none.
 func (t *task) setRun(r *run) {
+	t.unit.unpark()
 	if !t.done {
 		t.unit.active += count(r != nil) - count(t.run != nil)
 	}
@@ -44,6 +45,7 @@
 
 // setDone marks the task as done. A run that it still has goes on until it is stopped.
 func (t *task) setDone() {
+	t.unit.unpark()
 	if !t.done {
 		t.unit.active -= count(t.run != nil)
 	}
--- a/internal/dispatch/trial_workers.go
+++ b/internal/dispatch/trial_workers.go
@@ -48,8 +48,8 @@
 
 // chooseTrialWorkers chooses workers for the waiting units that need trials, and gives those
 // back that are not needed any more. The caller holds the lock.
-func (p *pool) chooseTrialWorkers(waiting []*unit, now time.Time) {
-	quiet := p.quiet(waiting, now)
+func (p *pool) chooseTrialWorkers(waiting []*unit, harmlessWaits bool, now time.Time) {
+	quiet := p.quiet(waiting, harmlessWaits, now)
 	if !p.trialsInUse && len(p.containments) == 0 && !slices.ContainsFunc(waiting, func(u *unit) bool { return u.risk.onTrial() }) {
 		return
 	}
@@ -157,12 +157,14 @@
 }
 
 // quiet reports whether no harmless unit has waited for long lately.
-func (p *pool) quiet(waiting []*unit, now time.Time) bool {
-	for _, u := range waiting {
-		if !u.risk.onTrial() && now.Sub(u.waitingSince) > harmlessWait {
-			p.harmlessWaitedAt = now
-			break
-		}
+func (p *pool) quiet(waiting []*unit, harmlessWaits bool, now time.Time) bool {
+	if harmlessWaits || slices.ContainsFunc(waiting, func(u *unit) bool { return u.waitsLongHarmlessly(now) }) {
+		p.harmlessWaitedAt = now
 	}
 	return now.Sub(p.harmlessWaitedAt) >= quietPeriod
 }
+
+// waitsLongHarmlessly reports whether the unit waits, but not for a trial, for longer than harmlessWait.
+func (u *unit) waitsLongHarmlessly(now time.Time) bool {
+	return !u.risk.onTrial() && now.Sub(u.waitingSince) > harmlessWait
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -28,6 +28,10 @@
 	// a later incarnation, as this one rejects it.
 	lateStarts []*run
 
+	slot       int        // among the workers of its pool
+	seenRoom   workerRoom // at the end of the last pass
+	grewInPass bool       // it got more room since the last pass began
+
 	reservedFor *unit // the waiting gang that has reserved the worker; nil: none
 	trial       bool  // runs contained and isolated units only
 	trialUsedAt time.Time
@@ -178,6 +182,7 @@
 func (w *worker) detachRun(r *run) {
 	if r.fence {
 		r.task.fences--
+		r.task.unit.unpark()
 	}
 	delete(w.runs, r.key())
 	w.pool.vacate(r)
@@ -185,6 +190,7 @@
 		w.riskyRuns--
 	}
 	w.free.add(r.size)
+	w.grewInPass = true
 	if r.orphaned {
 		if w.orphaned--; w.orphaned == 0 {
 			w.pool.account().removeOrphans(w)
