rpc, intake: a refusal is final only once no other leader can accept

Around an election the entry had the submission out at two leaders: the former one refused it, with a confirmation that had begun before the election, and the entry passed the refusal on while its request to the new one was still open, which accepted it 0.08 s later.

A submission's refusal is now returned only once no attempt at another process is open or has ended without telling its effect since the refused one was sent. The entry waits for the others until the caller's deadline; if one has accepted, that is the answer, and if it stays unknown, the outcome is unknown.

Ruled out: a refusal without a confirmation by the leader; it asks for one.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 	"github.com/pistachioport/pistachioport/internal/rpc"
@@ -104,7 +105,7 @@
 func (in *Intake) Submit(ctx context.Context, request *apiv1.SubmitJobRequest) CallResult {
 	request.Call = rand.Text()
 	return in.call(ctx, kindSubmit, request.GetPath(), func(ctx context.Context) (CallResult, error) {
-		response, err := in.jobs.Submit(ctx, request)
+		response, err := in.jobs.Submit(rpc.WithRefusals(ctx, isNotAccepted), request)
 		switch {
 		case err != nil:
 			return CallResult{}, err
@@ -123,6 +124,15 @@
 	})
 }
 
+// isNotAccepted reports whether a response tells that the submitted job never runs.
+func isNotAccepted(body []byte) bool {
+	response := &apiv1.SubmitJobResponse{}
+	if proto.Unmarshal(body, response) != nil {
+		return false
+	}
+	return response.GetRefused() || response.GetRateLimited() || response.GetInvalid() || response.GetNoRoute() || response.GetUnauthenticated()
+}
+
 // refusal returns the result of a submission that was refused.
 func refusal(outcome Outcome, response *apiv1.SubmitJobResponse) CallResult {
 	return CallResult{
--- a/internal/rpc/call.go
+++ b/internal/rpc/call.go
@@ -32,6 +32,7 @@
 	done          chan struct{} // closed at the end of the call
 	nextAttemptAt time.Time     // when the next attempt is due
 	lastErr       error
+	refusal       *attempt // answered by a refusal of which it is not known whether it is final; nil: none
 }
 
 func newCall(client *Client, request *http.Request, body []byte) *call {
@@ -54,6 +55,12 @@
 	}
 	ctx := c.request.Context()
 	for ctx.Err() == nil && !c.shouldGiveUp() {
+		if c.refusal != nil {
+			if response, known, err := c.awaitOthers(); known {
+				return response, err
+			}
+			break
+		}
 		if wait := time.Until(c.nextAttemptAt); wait > 0 {
 			if response, done, err := c.await(wait); done {
 				return response, err
@@ -218,7 +225,9 @@
 	}
 	directory := c.client.directory
 	if a.err != nil {
-		c.effect.recordFailure(a.err)
+		if c.effect.recordFailure(a.err) {
+			c.states[a.address].recordUncertain()
+		}
 		c.lastErr = a.err
 		c.endPoll(a)
 		c.nextAttemptAt = time.Now().Add(c.roundPause())
@@ -227,10 +236,16 @@
 	leader, notLeader := parseNotLeader(a.result)
 	if !notLeader {
 		directory.markLeader(a.address)
+		if c.isRefusal(a) {
+			c.refusal, c.lastErr = a, errors.Newf("%s refused the call, which another process may have accepted", a.address)
+			return nil, false, nil
+		}
 		return a.result.response, true, nil
 	}
 	directory.redirect(leader, a.address)
-	c.effect.recordRefusal(a.result)
+	if c.effect.recordRefusal(a.result) {
+		c.states[a.address].recordUncertain()
+	}
 	c.lastErr = errors.Newf("%s is not the leader", a.address)
 	c.endPoll(a)
 	c.nextAttemptAt = time.Now()
@@ -289,6 +304,12 @@
 			return response, err
 		}
 	}
+	if c.refusal != nil {
+		if _, uncertain := c.others(c.refusal); !uncertain {
+			return c.refusal.result.response, nil
+		}
+		c.effect.possible = true
+	}
 	err := c.effect.markError(errors.Mark(c.lastErr, ErrUnreachable))
 	return nil, errors.Wrapf(err, "gave up after %d attempts", c.attempts)
 }
--- a/internal/rpc/call_effect.go
+++ b/internal/rpc/call_effect.go
@@ -43,22 +43,25 @@
 	return e
 }
 
-// recordFailure records an attempt without a response. It certainly had no effect only if
-// no connection was made.
-func (e *callEffect) recordFailure(err error) {
-	if !errors.Is(err, errNothingSent) {
-		e.possible = true
-	}
+// recordFailure records an attempt without a response, and reports whether it may have had an effect: it
+// certainly had none only if no connection was made.
+func (e *callEffect) recordFailure(err error) bool {
+	possible := !errors.Is(err, errNothingSent)
+	e.possible = e.possible || possible
+	return possible
 }
 
-// recordRefusal records the response of a process that is not the leader.
-func (e *callEffect) recordRefusal(result bufferedResponse) {
+// recordRefusal records the response of a process that is not the leader, and reports whether the call
+// may have had an effect all the same.
+func (e *callEffect) recordRefusal(result bufferedResponse) bool {
 	var refusal struct {
 		Meta map[string]string `json:"meta"`
 	}
 	if err := json.Unmarshal(result.body, &refusal); err != nil || refusal.Meta[mayHaveEffectMeta] != "" {
 		e.possible = true
+		return true
 	}
+	return false
 }
 
 // shouldGiveUp reports whether the search for a leader has timed out and no attempt can
