dispatch: starts of worse bands leave slots to better ones

Of 1,450 starts a second 550 were of urgent jobs: these wait for the policy service first, and starts of other units take the slots and the leader's processor time meanwhile.

Units that are on time or late now use half of the slots for start requests at most, expired ones a quarter; what better bands use counts. A unit that is left out does not end the pass, as those after it may use more of the slots.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -185,9 +185,9 @@
 	return fitting
 }
 
-// adviceBand returns the band in which the unit's calls wait for the policy service. Trial workers
+// callBand returns the band in which the unit's calls wait for the policy service and its starts for slots. Trial workers
 // are kept idle for a unit on trial, so it does not wait behind all others, however late it is.
-func (u *unit) adviceBand() band {
+func (u *unit) callBand() band {
 	if u.risk.onTrial() {
 		return min(u.rank.band, bandOnTime)
 	}
@@ -200,10 +200,10 @@
 // advisorAvailable reports whether the shortest call for the unit could be made now.
 func (p *pool) advisorAvailable(u *unit, pass *passState) bool {
 	cost := adviceCost(u.job.queue.GetPolicy(), minWorkersPerCall)
-	known := &pass.advisors[u.adviceBand()][count(cost < longCallCost)]
+	known := &pass.advisors[u.callBand()][count(cost < longCallCost)]
 	if *known == advisorsUnknown {
 		*known = advisorsBusy
-		if p.d.advisorPool.available(pass.now, cost, u.adviceBand()) {
+		if p.d.advisorPool.available(pass.now, cost, u.callBand()) {
 			*known = advisorsFree
 		}
 	}
@@ -234,7 +234,7 @@
 		return
 	}
 	cost := adviceCost(u.job.queue.GetPolicy(), len(workers))
-	address, answer, ok := p.d.advisorPool.pick(now, cost, u.adviceBand())
+	address, answer, ok := p.d.advisorPool.pick(now, cost, u.callBand())
 	if !ok {
 		p.d.counters.adviceDeferred.Inc(1)
 		u.advice.deferred = true
--- a/internal/dispatch/call_slots.go
+++ b/internal/dispatch/call_slots.go
@@ -61,13 +61,23 @@
 // room returns how many calls may be planned now. If it is 0 or less, so many planned calls
 // wait for a slot that others are better decided on later, with newer knowledge and in the
 // order of their urgency. Those that wait keep the slots occupied until then.
-func (s *callSlots) room() int64 {
+func (s *callSlots) room() int64 { return s.roomWithin(1) }
+
+// roomWithin returns how many calls may be planned now that may use no more than the share of the slots, of at most 1.
+// Only calls that may use all of them may wait for one.
+func (s *callSlots) roomWithin(share float64) int64 {
 	if s.limit == math.MaxInt64 {
 		return s.limit
 	}
-	return s.limit + max(1, s.limit/backlogDivisor) - s.planned.Load()
+	if share >= 1 || s.limit < minSharedSlots {
+		return s.limit + max(1, s.limit/backlogDivisor) - s.planned.Load()
+	}
+	return int64(share*float64(s.limit)) - s.planned.Load()
 }
 
+// minSharedSlots is the number of slots from which on they are shared: parts of fewer would be single calls.
+const minSharedSlots = 8
+
 // backlogDivisor is the inverse of the share of a full set of slots that may wait for one.
 const backlogDivisor = 4
 
--- a/internal/dispatch/parking_random_test.go
+++ b/internal/dispatch/parking_random_test.go
@@ -233,7 +233,7 @@
 			continue
 		}
 		cost := adviceCost(u.job.queue.GetPolicy(), minWorkersPerCall)
-		if len(s.workersToAskAbout(u, len(u.pending(now)), now)) > 0 && s.d.advisorPool.available(now, cost, u.adviceBand()) {
+		if len(s.workersToAskAbout(u, len(u.pending(now)), now)) > 0 && s.d.advisorPool.available(now, cost, u.callBand()) {
 			return u
 		}
 	}
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -23,6 +23,7 @@
 	nowUnixMs := p.d.nowUnixMs()
 	pass := p.newPassState(now)
 	defer p.recordRoom(pass)
+	defer p.recordCut(pass)
 	found := p.waitingUnits(pass, nowUnixMs)
 	waiting := p.withoutHeld(found, pass)
 	defer p.recordWaiting(found, pass)
@@ -51,11 +52,9 @@
 // placeNext places the next unit of a pass. It returns false if the pass has to end, as start requests
 // wait for slots.
 func (p *pool) placeNext(u *unit, pass *passState) bool {
-	if p.d.orderSlots.room() <= 0 {
-		pass.cut = true
-		p.d.cutPasses.add(p)
-		p.d.resumeCutPasses() // the last start may have ended meanwhile
-		return false
+	if p.startRoom(u) <= 0 {
+		pass.cutForStarts(u)
+		return p.d.orderSlots.room() > 0 // others may use more of the slots
 	}
 	if u.parking != nil {
 		if !p.canProceed(u, pass) {
@@ -161,9 +160,9 @@
 		return // a gang of which some member still has a run or is backing off
 	}
 	u.advice.deferred, u.advice.exhausted = false, false
-	if room := p.d.orderSlots.room(); !u.spec.GetGang() && int64(len(waiting)) > room {
+	if room := p.startRoom(u); !u.spec.GetGang() && int64(len(waiting)) > room {
 		waiting = waiting[:max(0, room)]
-		p.d.cutPasses.add(p)
+		pass.cutForStarts(u)
 	}
 	waiting = p.cutToShare(u, waiting, pass)
 	if waiting = p.cutToCap(u, waiting, pass); len(waiting) == 0 {
--- a/internal/dispatch/pass_state.go
+++ b/internal/dispatch/pass_state.go
@@ -17,6 +17,7 @@
 	released       map[string]struct{} // workspaces whose caps may permit more than in the last pass
 	harmlessWaits  bool                // a parked unit has waited for workers for harmlessWait
 	cut            bool                // not all units that wait are tried
+	cutShare       float64             // of the slots for starts, the largest that a unit left out may use; 0: none was
 	advisors       [bandExpired + 1][2]advisorState
 }
 
--- a/internal/dispatch/urgent_pass.go
+++ b/internal/dispatch/urgent_pass.go
@@ -21,6 +21,7 @@
 	p.urgentJobs = slices.DeleteFunc(p.urgentJobs, func(j *job) bool { return p.jobs[j.id] != j || !j.mayBeUrgent(now) })
 	pass := p.newUrgentPassState(now)
 	defer p.recordRoom(pass)
+	defer p.recordCut(pass)
 	var waiting []*unit
 	for _, j := range p.urgentJobs {
 		for _, u := range j.units {
