--- a/internal/dispatch/parking_random_test.go
+++ b/internal/dispatch/parking_random_test.go
@@ -266,3 +266,20 @@
 	}
 	return parked
 }
+
+// A unit of which some tasks had been placed counted as waiting since ever.
+func TestPartlyPlacedUnitWaitsSinceThen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := fullPool(0)
+		s := &parkingScenario{pool: p, choices: []int{0}}
+		s.addWorker() // of one core
+		u := addUrgentJob(p, "job", 1000)
+		u.spec.Count = 2
+		u.tasks = append(u.tasks, &task{unit: u, index: 1})
+		u.remaining = 2
+		p.runPass()
+		if u.active != 1 || u.parking == nil || time.Since(u.waitingSince) > 0 {
+			t.Fatalf("%d tasks are placed, parked %v, waiting for %v", u.active, u.parking != nil, time.Since(u.waitingSince))
+		}
+	})
+}
