dispatch: a pass reads the units that wait in sequence

Cause: it walked the map of all jobs and read, for each, the job, its list of units, the unit and why it is parked, four places in memory that are rarely in the cache.

Change: the pool lists what is parked and what is not. A pass reads the parkings, which now hold what decides in most cases, and looks at units only where something may have changed; jobs that are wholly parked are not touched.

TestPassLeavesOutNoUnitThatCanStart now also checks that each unit that is not done is listed exactly once; with the listing of unparked units taken out it fails at once.

--- a/internal/dispatch/backlog_test.go
+++ b/internal/dispatch/backlog_test.go
@@ -44,7 +44,7 @@
 		values[id] = "ticket"
 	}
 	j.units[0].advice.recordAnswer(p.workerList, values, time.Now().Add(time.Hour))
-	p.jobs[j.id] = j
+	p.insertJob(j)
 	return j.units[0]
 }
 
--- a/internal/dispatch/cap_pass.go
+++ b/internal/dispatch/cap_pass.go
@@ -75,7 +75,7 @@
 // recordWaiting records what waits for each workspace in a pass that has looked at the units.
 func (p *pool) recordWaiting(units []*unit, pass *passState) {
 	waiting := make(map[string]waitingWork)
-	for workspace, sums := range p.parked {
+	for workspace, sums := range p.parkedSums {
 		if workspace != "" {
 			waiting[workspace] = waitingWork{units: sums.units, held: sums.heldUnits}
 		}
--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -98,7 +98,7 @@
 	gang := newJob(&apiv1.JobProgress{Job: &apiv1.CallerJob{
 		Id: "gang", Queue: testQueue(), Spec: &apiv1.JobSpec{Steps: []*apiv1.JobStep{newGangStep(2, 0)}},
 	}}, time.Now(), time.Now().UnixMilli())
-	p.jobs[gang.id] = gang
+	p.insertJob(gang)
 	w, u := p.workerList[0], gang.units[0]
 	w.observeClock(1, time.Now())
 	p.startRuns(u, []placement{{u.tasks[0], w, ""}, {u.tasks[1], w, ""}}, time.Now())
--- a/internal/dispatch/checkpoint_test.go
+++ b/internal/dispatch/checkpoint_test.go
@@ -27,7 +27,7 @@
 	func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.jobs[j.id] = j
+		p.insertJob(j)
 		w := p.workers["w1"]
 		u.tasks[0].saveCheckpoint("first")
 		p.startRuns(u, []placement{{u.tasks[0], w, ""}, {u.tasks[1], w, ""}}, time.Now())
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -106,7 +106,7 @@
 	if u.job.unfinishedUnits == 0 {
 		p.d.Logger.Info("job completed", "job", u.job.id, "queue", u.job.queue.GetName(),
 			"took_ms", time.Since(u.job.accepted).Milliseconds(), "objective_ms", u.job.objective.Milliseconds())
-		delete(p.jobs, u.job.id)
+		p.deleteJob(u.job)
 		p.keepDeparted(u.job)
 		p.recordTested(u.job.queue.GetName(), time.Now())
 	}
--- a/internal/dispatch/incarnation_cases_test.go
+++ b/internal/dispatch/incarnation_cases_test.go
@@ -272,7 +272,7 @@
 	j := newJob(&apiv1.JobProgress{Job: &apiv1.CallerJob{
 		Id: "job", Queue: testQueue(), Spec: &apiv1.JobSpec{Steps: []*apiv1.JobStep{stepOf(1, 100)}},
 	}}, time.Now(), time.Now().UnixMilli())
-	p.jobs[j.id] = j
+	p.insertJob(j)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w := p.addWorker(newFakeWorker("w1", 1000).record)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -17,6 +17,7 @@
 	accepted        time.Time
 	units           []*unit // by occurrence, then step
 	unfinishedUnits int     // number of units with tasks that are not done
+	removed         bool    // from the pool
 	placed          bool    // this leader has decided to start some task or adopted its run
 	startSent       bool    // this leader has sent a start request of some task, or adopted its run
 	started         bool    // some task was started, by any leader
--- a/internal/dispatch/latency_test.go
+++ b/internal/dispatch/latency_test.go
@@ -14,7 +14,7 @@
 	j := newJob(&apiv1.JobProgress{Job: &apiv1.CallerJob{
 		Id: "job", Queue: testQueue(), Spec: &apiv1.JobSpec{Steps: []*apiv1.JobStep{stepOf(2, 0)}},
 	}}, time.Now(), time.Now().UnixMilli())
-	p.jobs[j.id] = j
+	p.insertJob(j)
 	return j.units[0]
 }
 
--- a/internal/dispatch/ledger_test.go
+++ b/internal/dispatch/ledger_test.go
@@ -14,7 +14,7 @@
 	j := newJob(&apiv1.JobProgress{Job: &apiv1.CallerJob{
 		Id: "job", Workspace: "a", Queue: testQueue(), Spec: &apiv1.JobSpec{Steps: []*apiv1.JobStep{stepOf(1, 1000)}},
 	}}, time.Now(), time.Now().UnixMilli())
-	p.jobs[j.id] = j
+	p.insertJob(j)
 	w := p.addWorker(newFakeWorker("w", 4000).record)
 	u := j.units[0]
 	r := &run{
--- a/internal/dispatch/parking.go
+++ b/internal/dispatch/parking.go
@@ -12,15 +12,20 @@
 //
 // Load pattern: thousands of units wait for workers that are in use. Passes that try all of them take the leader's
 // processor time from the starts and ends that would work them off, so the longer the backlog, the less is done.
+//
+// Each pass looks at each parking, so what decides in most cases comes first: the unit itself need not be in the cache.
 type parking struct {
-	pool     *pool
 	until    time.Time
 	adviceAt time.Time // when a call to the policy service may be tried again; zero: none is wanted
 	asked    bool      // the policy service has been asked about all workers that could be used
 	held     bool      // the cap of its workspace holds tasks back
 	heldAll  bool      // these are all tasks that could start
-	parkedSums
-	class int
+	size     resources // of a task
+	unit     *unit
+	pool     *pool
+	class    int
+	index    int // in the list of parked units
+	sums     parkedSums
 }
 
 // parkedSums are sums over parked units of one workspace.
@@ -64,13 +69,13 @@
 	if u.risk.onTrial() {
 		return // what it waits for is chosen anew by each pass
 	}
-	pk := &parking{pool: p, asked: u.advice.exhausted, held: u.heldAt.Equal(pass.now), class: classOther}
-	pk.units = 1
+	pk := &parking{unit: u, size: u.size, pool: p, asked: u.advice.exhausted, held: u.heldAt.Equal(pass.now), class: classOther}
+	pk.sums.units = 1
 	if pk.held {
-		pk.heldUnits = 1
+		pk.sums.heldUnits = 1
 	}
 	if pk.heldAll = pk.held && unplaced == 0; !pk.heldAll {
-		pk.demand = u.size.times(u.remaining - u.active)
+		pk.sums.demand = u.size.times(u.remaining - u.active)
 		if u.waitingSince.IsZero() { // some of its tasks were placed
 			u.waitingSince = pass.now
 		}
@@ -87,8 +92,8 @@
 	case u.spec.GetGang() && u.rank.band < bandExpired:
 		pk.class = classGang
 	}
-	p.parkedUnits[pk.class]++
 	u.parking = pk
+	p.waitList.park(pk)
 	pk.until = pass.now.Add(p.retryInterval(u))
 	if pk.held {
 		pk.until = earliestOf(pk.until, p.d.ledger.settledAt(), pass.now)
@@ -96,9 +101,9 @@
 	for _, t := range u.tasks {
 		pk.until = earliestOf(pk.until, t.notBefore, pass.now)
 	}
-	sums := p.parked[u.job.workspace]
-	sums.add(pk.parkedSums)
-	p.parked[u.job.workspace] = sums
+	sums := p.parkedSums[u.job.workspace]
+	sums.add(pk.sums)
+	p.parkedSums[u.job.workspace] = sums
 }
 
 // unpark makes the next pass try the unit again. It does nothing unless the unit is parked. The caller holds the lock
@@ -109,14 +114,14 @@
 		return
 	}
 	u.parking = nil
-	pk.pool.parkedUnits[pk.class]--
-	sums := pk.pool.parked[u.job.workspace]
-	sums.subtract(pk.parkedSums)
+	pk.pool.waitList.unpark(pk)
+	sums := pk.pool.parkedSums[u.job.workspace]
+	sums.subtract(pk.sums)
 	if sums.units == 0 {
-		delete(pk.pool.parked, u.job.workspace)
+		delete(pk.pool.parkedSums, u.job.workspace)
 		return
 	}
-	pk.pool.parked[u.job.workspace] = sums
+	pk.pool.parkedSums[u.job.workspace] = sums
 }
 
 // unparkQueue unparks the units of the queue's jobs.
--- a/internal/dispatch/parking_random_test.go
+++ b/internal/dispatch/parking_random_test.go
@@ -213,6 +213,9 @@
 		if total := s.countWaiting(nil); total != s.countParked() {
 			return fmt.Sprintf("%d units are parked, %d are counted", s.countParked(), total)
 		}
+		if u := s.unlisted(); u != nil {
+			return fmt.Sprintf("after step %d, no pass looks at %s", step, u.name())
+		}
 	}
 	for range 30 { // more than maxParking
 		time.Sleep(idlePassInterval)
@@ -225,6 +228,23 @@
 	return ""
 }
 
+// unlisted returns a unit that is not done and not in the wait list, or nil.
+func (s *parkingScenario) unlisted() *unit {
+	listed := make(map[*unit]int)
+	for pk := range s.waitList.allParked() {
+		listed[pk.unit]++
+	}
+	for _, u := range s.waitList.unparked() {
+		listed[u]++
+	}
+	for _, u := range s.units() {
+		if u.remaining > 0 && listed[u] != 1 {
+			return u
+		}
+	}
+	return nil
+}
+
 // askable returns a parked unit for which the policy service could be asked now, or nil.
 func (s *parkingScenario) askable() *unit {
 	now := time.Now()
--- a/internal/dispatch/parking_return.go
+++ b/internal/dispatch/parking_return.go
@@ -7,20 +7,19 @@
 
 // mayReturn reports whether a parked unit may have to be tried in the pass, and unparks it if that is certain. It is
 // called for each parked unit in each pass, and so is cheap rather than exact: canProceed tells for the others.
-func (p *pool) mayReturn(u *unit, pass *passState) bool {
-	pk := u.parking
+func (p *pool) mayReturn(pk *parking, pass *passState) bool {
 	switch {
-	case !pass.now.Before(pk.until) && p.isWorthRetry(u, pass),
-		pk.held && pass.capReleased(u.job.workspace),
-		pk.asked && p.mayAskAboutOpened(u, pass):
-		u.unpark()
+	case !pass.now.Before(pk.until) && p.isWorthRetry(pk.unit, pass),
+		pk.held && pass.capReleased(pk.unit.job.workspace),
+		pk.asked && p.mayAskAboutOpened(pk.unit, pass):
+		pk.unit.unpark()
 		return true
 	case pk.heldAll:
 		return false
-	case pk.adviceDue(pass.now) && p.advisorAvailable(u, pass):
+	case pk.adviceDue(pass.now) && p.advisorAvailable(pk.unit, pass):
 		return true
 	}
-	return p.mayUseGrown(u, pass)
+	return p.mayUseGrown(pk, pass)
 }
 
 // mayAskAboutOpened reports whether there is a worker that the policy service has not been asked about, as nothing could be
@@ -30,13 +29,14 @@
 }
 
 // mayUseGrown reports whether a worker with more room than before may be allowed to the unit and holds a task of it.
-func (p *pool) mayUseGrown(u *unit, pass *passState) bool {
-	if !pass.mostGrown.fits(u.size) {
+func (p *pool) mayUseGrown(pk *parking, pass *passState) bool {
+	if !pass.mostGrown.fits(pk.size) {
 		return false
 	}
+	u := pk.unit
 	anyWorker := u.job.queue.GetPolicy() == nil
 	for _, w := range pass.grown {
-		if (anyWorker || u.advice.allowedWorkers.has(w)) && w.free.fits(u.size) {
+		if (anyWorker || u.advice.allowedWorkers.has(w)) && w.free.fits(pk.size) {
 			return true
 		}
 	}
@@ -113,7 +113,7 @@
 	if u.reservation != nil {
 		return minParking
 	}
-	return min(max(minParking, time.Duration(p.parkedUnits[u.parking.class])*minRetrySpacing), maxParking)
+	return min(max(minParking, time.Duration(p.waitList.parkedOf[u.parking.class])*minRetrySpacing), maxParking)
 }
 
 // isWorthRetry reports whether trying the unit again for lack of any other reason may have a result. If not, the unit
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -72,26 +72,36 @@
 // ones that can't return in the pass. For units that are not ready it requests advice ahead.
 func (p *pool) waitingUnits(pass *passState, nowUnixMs int64) []*unit {
 	var found []*unit
-	for _, j := range p.jobs {
-		for _, u := range j.units {
-			if p.waitsInPass(u, pass, nowUnixMs) {
-				found = append(found, u)
-			}
+	for pk := range p.waitList.allParked() {
+		if p.returns(pk, pass) && pk.unit.parking != nil && p.waitsInPass(pk.unit, pass, nowUnixMs) {
+			found = append(found, pk.unit)
+		}
+	}
+	for _, u := range p.waitList.unparked() {
+		if p.waitsInPass(u, pass, nowUnixMs) {
+			found = append(found, u)
 		}
 	}
 	return found
 }
 
-// waitsInPass reports whether the pass has to place the unit, and ranks it then.
+// returns reports whether a parked unit may have to be tried in the pass. It may unpark the unit.
+func (p *pool) returns(pk *parking, pass *passState) bool {
+	if p.mayReturn(pk, pass) {
+		return true
+	}
+	if !pass.harmlessWaits {
+		pass.harmlessWaits = !pk.heldAll && pass.now.Sub(pk.unit.waitingSince) > harmlessWait
+	}
+	return false
+}
+
+// waitsInPass reports whether the pass has to place the unit, unless it is parked and does not return, and ranks it then.
 func (p *pool) waitsInPass(u *unit, pass *passState, nowUnixMs int64) bool {
 	now := pass.now
 	if u.remaining == 0 || now.Before(u.suspendedUntil) {
 		return false
 	}
-	if u.parking != nil && !p.mayReturn(u, pass) {
-		pass.harmlessWaits = pass.harmlessWaits || (!u.parking.heldAll && now.Sub(u.waitingSince) > harmlessWait)
-		return false
-	}
 	if !u.ready(nowUnixMs) {
 		p.requestAdviceAhead(u, pass, nowUnixMs)
 		return false
@@ -109,10 +119,7 @@
 
 // countWaiting returns the number of units that wait, given those that a pass has found.
 func (p *pool) countWaiting(found []*unit) int {
-	waiting := 0
-	for _, parked := range p.parkedUnits {
-		waiting += parked
-	}
+	waiting := len(p.waitList.parked)
 	for _, u := range found {
 		waiting += count(u.parking == nil)
 	}
--- a/internal/dispatch/pass_bench_test.go
+++ b/internal/dispatch/pass_bench_test.go
@@ -60,6 +60,29 @@
 	}
 }
 
+// BenchmarkPassOverParkedUnits measures a pass over a backlog for which nothing has changed since the last one.
+func BenchmarkPassOverParkedUnits(b *testing.B) {
+	const workers, workspaces = 350, 20
+	for _, units := range []int{1000, 10_000} {
+		b.Run(fmt.Sprint(units), func(b *testing.B) {
+			p := fullPool(workers)
+			catalog := &apiv1.Catalog{Version: 1}
+			for i := range workspaces {
+				catalog.Workspaces = append(catalog.Workspaces, weightedWorkspace(fmt.Sprint(i), 1))
+			}
+			p.d.Table.Apply(0, &apiv1.JobsCommand{Catalog: catalog})
+			gangs := units / 20
+			fillBacklog(p, gangs, units-gangs, func(i int) string { return fmt.Sprint(i % workspaces) })
+			p.runPass()
+			b.ResetTimer()
+			for range b.N {
+				p.runPass()
+			}
+			b.ReportMetric(float64(p.d.counters.unitsTried.Count())/float64(b.N), "tries/op")
+		})
+	}
+}
+
 // fillBacklog adds waiting gangs and single tasks to the pool, each a job of the workspace for its
 // number.
 func fillBacklog(p *pool, gangs, singles int, workspace func(i int) string) {
@@ -78,7 +101,7 @@
 			}
 		}
 		u.advice.recordAnswer(p.workerList, values, time.Now().Add(time.Hour))
-		p.jobs[j.id] = j
+		p.insertJob(j)
 	}
 }
 
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -39,11 +39,10 @@
 	departed         map[string]*job
 	workspacesWaited bool // units of workspaces waited in the last pass
 	// occupied is what the runs of each workspace use, but for those that are being stopped.
-	occupied map[string]resources
-	shares   *poolShares // of the current pass; nil: no unit of a workspace waits
-	// parked are sums over the units that passes leave out, by workspace, and parkedUnits their numbers by class.
-	parked       map[string]parkedSums
-	parkedUnits  [parkingClasses]int
+	occupied     map[string]resources
+	shares       *poolShares // of the current pass; nil: no unit of a workspace waits
+	waitList     waitList
+	parkedSums   map[string]parkedSums // over the units that passes leave out, by workspace
 	slots        workerSlots
 	catalog      *jobs.Catalog // of the last pass
 	releasedCaps releasedCaps
@@ -63,7 +62,7 @@
 	return &pool{
 		d: d, service: service, wakeup: make(chan struct{}, 1), urgentWakeup: make(chan struct{}, 1),
 		workers: make(map[string]*worker), jobs: make(map[string]*job),
-		allowedShares: make(map[string]float64), unreconciled: make(map[string]time.Time), departed: make(map[string]*job), occupied: make(map[string]resources), parked: make(map[string]parkedSums),
+		allowedShares: make(map[string]float64), unreconciled: make(map[string]time.Time), departed: make(map[string]*job), occupied: make(map[string]resources), parkedSums: make(map[string]parkedSums),
 		trialsInUse: true, loadAdmission: newLoadAdmission(d.AdmitsByLoad),
 		containments: make(map[string]*containment), crashedWorkers: make(crashedWorkers), silentLosses: make(silentLosses),
 	}
@@ -142,7 +141,7 @@
 	if p.jobs[j.id] != nil {
 		return
 	}
-	p.jobs[j.id] = j
+	p.insertJob(j)
 	for _, u := range j.units {
 		startable := inherited && len(p.unreconciled) > 0 && u.dependenciesDone()
 		for _, t := range u.tasks {
@@ -153,6 +152,20 @@
 	p.requestPass()
 }
 
+// insertJob makes passes look at the job's units. The caller holds the lock.
+func (p *pool) insertJob(j *job) {
+	p.jobs[j.id] = j
+	for _, u := range j.units {
+		p.waitList.add(u)
+	}
+}
+
+// deleteJob makes passes leave out the job's units. The caller holds the lock.
+func (p *pool) deleteJob(j *job) {
+	delete(p.jobs, j.id)
+	j.removed = true
+}
+
 // addAcceptedJob adds a job that was accepted in this term.
 func (p *pool) addAcceptedJob(j *job) { p.addJob(j, false) }
 
@@ -221,7 +234,7 @@
 	if j == nil {
 		return
 	}
-	delete(p.jobs, id)
+	p.deleteJob(j)
 	p.keepDeparted(j)
 	for _, u := range j.units {
 		p.releaseReservation(u)
--- a/internal/dispatch/pool_shares.go
+++ b/internal/dispatch/pool_shares.go
@@ -47,7 +47,7 @@
 // demandOfWorkspaces returns what each workspace uses and waits for in the pool, or nil if none waits.
 func (p *pool) demandOfWorkspaces(waiting []*unit) map[string]resources {
 	var demand map[string]resources
-	for workspace, sums := range p.parked {
+	for workspace, sums := range p.parkedSums {
 		if workspace == "" || sums.demand == (resources{}) {
 			continue
 		}
--- a/internal/dispatch/reservation_test.go
+++ b/internal/dispatch/reservation_test.go
@@ -192,7 +192,7 @@
 	j := newJob(&apiv1.JobProgress{Job: &apiv1.CallerJob{
 		Id: id, Queue: testQueue(), Spec: &apiv1.JobSpec{Steps: []*apiv1.JobStep{step}},
 	}}, time.Now(), time.Now().UnixMilli())
-	p.jobs[id] = j
+	p.insertJob(j)
 	return j.units[0]
 }
 
--- a/internal/dispatch/shares_test.go
+++ b/internal/dispatch/shares_test.go
@@ -62,7 +62,7 @@
 			Id: workspace, Workspace: workspace, Queue: testQueue(), Spec: &apiv1.JobSpec{Steps: []*apiv1.JobStep{stepOf(30, 1000)}},
 			AcceptedUnixMs: accepted.UnixMilli(),
 		}}, accepted, accepted.UnixMilli())
-		p.jobs[j.id] = j
+		p.insertJob(j)
 	}
 	p.runPass()
 	is.Equal(p.occupied["a"].cpu, int64(8000))
--- a/internal/dispatch/ticket_test.go
+++ b/internal/dispatch/ticket_test.go
@@ -15,7 +15,7 @@
 	j := newJob(&apiv1.JobProgress{Job: &apiv1.CallerJob{
 		Id: "job", Queue: restrictedQueue(), Spec: &apiv1.JobSpec{Steps: []*apiv1.JobStep{stepOf(1, 0)}},
 	}}, time.Now(), time.Now().UnixMilli())
-	p.jobs[j.id] = j
+	p.insertJob(j)
 	w, u := p.workerList[0], j.units[0]
 	w.observeClock(1, time.Now())
 	setTicket(u, w, "old", expires)
--- a/internal/dispatch/unit.go
+++ b/internal/dispatch/unit.go
@@ -29,6 +29,7 @@
 	heldLoggedAt    time.Time     // when it was last logged that a cap holds it back
 	suspendedUntil  time.Time     // not placed until then, after a panic
 	preemptedAt     time.Time     // when runs of other units were last stopped for this one
+	listed          bool          // by the pool among the units that are not parked
 	parking         *parking      // why passes leave it out; nil: they don't
 	risk            risk          // in the current pass
 	mostCrashes     int           // of workers under one of its tasks
--- a/internal/dispatch/urgent_pass.go
+++ b/internal/dispatch/urgent_pass.go
@@ -25,7 +25,7 @@
 	var waiting []*unit
 	for _, j := range p.urgentJobs {
 		for _, u := range j.units {
-			if p.waitsInPass(u, pass, nowUnixMs) && u.rank.band == bandUrgent && !u.risk.onTrial() {
+			if (u.parking == nil || p.returns(u.parking, pass)) && p.waitsInPass(u, pass, nowUnixMs) && u.rank.band == bandUrgent && !u.risk.onTrial() {
 				waiting = append(waiting, u)
 			}
 		}
