dispatch, rpc: files by what they hold, one frame for both kinds of passes

An urgent job that has left the pool is told by its own flag instead of a lookup. Nothing else changes.

go test ./internal/dispatch ./internal/rpc ./internal/admission passes; go build and go vet for arm64 as well.

--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -13,17 +13,24 @@
 // Load pattern: more starts than the leader can send, because it is slow or there are many
 // waiting units. Without this bound most starts are sent too late and refused, and all of
 // their work is done again.
-func (p *pool) runPass() {
+func (p *pool) runPass() { p.executePass(p.newPassState, p.placeWaiting) }
+
+// executePass executes a pass, unless the leader lease has expired.
+func (p *pool) executePass(newState func(now time.Time) *passState, place func(pass *passState)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.d.leaderLease.remaining() <= 0 {
 		return
 	}
-	now := time.Now()
-	nowUnixMs := p.d.nowUnixMs()
-	pass := p.newPassState(now)
+	pass := newState(time.Now())
 	defer p.recordRoom(pass)
 	defer p.recordCut(pass)
+	place(pass)
+}
+
+// placeWaiting places all units that wait.
+func (p *pool) placeWaiting(pass *passState) {
+	nowUnixMs := p.d.nowUnixMs()
 	found := p.waitingUnits(pass, nowUnixMs)
 	waiting := p.withoutHeld(found, pass)
 	defer p.recordWaiting(found, pass)
@@ -31,8 +38,8 @@
 	p.shares = p.computeShares(waiting)
 	p.rankByShares(waiting, pass)
 	slices.SortFunc(waiting, compareUnits)
-	p.chooseTrialWorkers(waiting, pass.harmlessWaits, now)
-	defer p.measureLoad(now, nowUnixMs)
+	p.chooseTrialWorkers(waiting, pass.harmlessWaits, pass.now)
+	defer p.measureLoad(pass.now, nowUnixMs)
 	p.placeAll(waiting, pass)
 }
 
@@ -68,96 +75,6 @@
 	return true
 }
 
-// waitingUnits returns the ready units with tasks that can be started, ranked but not sorted, without the parked
-// ones that can't return in the pass. For units that are not ready it requests advice ahead.
-func (p *pool) waitingUnits(pass *passState, nowUnixMs int64) []*unit {
-	var found []*unit
-	for pk := range p.waitList.allParked() {
-		if p.returns(pk, pass) && pk.unit.parking != nil && p.waitsInPass(pk.unit, pass, nowUnixMs) {
-			found = append(found, pk.unit)
-		}
-	}
-	for _, u := range p.waitList.unparked() {
-		if p.waitsInPass(u, pass, nowUnixMs) {
-			found = append(found, u)
-		}
-	}
-	return found
-}
-
-// returns reports whether a parked unit may have to be tried in the pass. It may unpark the unit.
-func (p *pool) returns(pk *parking, pass *passState) bool {
-	if p.mayReturn(pk, pass) {
-		return true
-	}
-	if !pass.harmlessWaits {
-		pass.harmlessWaits = !pk.heldAll && pass.now.Sub(pk.unit.waitingSince) > harmlessWait
-	}
-	return false
-}
-
-// waitsInPass reports whether the pass has to place the unit, unless it is parked and does not return, and ranks it then.
-func (p *pool) waitsInPass(u *unit, pass *passState, nowUnixMs int64) bool {
-	now := pass.now
-	if u.remaining == 0 || now.Before(u.suspendedUntil) {
-		return false
-	}
-	if !u.ready(nowUnixMs) {
-		p.requestAdviceAhead(u, pass, nowUnixMs)
-		return false
-	}
-	if u.parking == nil && !u.hasPendingTask(now) {
-		return false
-	}
-	u.rank, u.risk = rankOf(u, now), p.riskOf(u, now)
-	u.rank.work = p.lateOrder(u)
-	if u.waitingSince.IsZero() {
-		u.waitingSince = now
-	}
-	return true
-}
-
-// countWaiting returns the number of units that wait, given those that a pass has found.
-func (p *pool) countWaiting(found []*unit) int {
-	waiting := len(p.waitList.parked)
-	for _, u := range found {
-		waiting += count(u.parking == nil)
-	}
-	return waiting
-}
-
-// requestAdviceAhead requests advice for a unit that becomes ready within the
-// duration of a call, so that the advice has arrived by then.
-func (p *pool) requestAdviceAhead(u *unit, pass *passState, nowUnixMs int64) {
-	now := pass.now
-	if !u.needsAdvice(now) || u.advice.tickets != nil {
-		return
-	}
-	cost := adviceCost(u.job.queue.GetPolicy(), maxWorkersPerCall/2)
-	if nowUnixMs+cost.Milliseconds() < u.dueUnixMs() || !u.dependenciesDoneWithin(now, cost) {
-		return
-	}
-	u.rank, u.risk = rankOf(u, now), p.riskOf(u, now)
-	p.requestAdvice(u, p.workersToAskAbout(u, int(u.spec.GetCount()), now), pass)
-}
-
-// dependenciesDoneWithin reports whether all tasks that the unit depends on are
-// done, or run and are expected to be done within the time.
-func (u *unit) dependenciesDoneWithin(now time.Time, within time.Duration) bool {
-	for _, stepIndex := range u.spec.GetDependsOn() {
-		dependency := u.job.unit(u.occurrence, int(stepIndex))
-		for _, t := range dependency.tasks {
-			if t.done {
-				continue
-			}
-			if t.run == nil || t.run.startSent.Add(dependency.estimate()-within).After(now) {
-				return false
-			}
-		}
-	}
-	return true
-}
-
 // placeUnit starts as many of the unit's waiting tasks as fit. For the others it
 // reserves workers (gangs) or requests advice.
 func (p *pool) placeUnit(u *unit, pass *passState) {
@@ -263,61 +180,3 @@
 
 // waitLogInterval is the minimum time between two log lines about a waiting gang.
 const waitLogInterval = 5 * time.Second
-
-// allowedWorkers returns the workers that the unit's policy is known to allow, or
-// all workers if the queue has no policy.
-func (p *pool) allowedWorkers(u *unit) []*worker {
-	if u.job.queue.GetPolicy() == nil {
-		return p.workerList
-	}
-	found := make([]*worker, len(u.advice.allowedTickets))
-	for i, t := range u.advice.allowedTickets {
-		found[i] = t.worker
-	}
-	return found
-}
-
-// candidates returns the workers on which tasks of the unit can be started now.
-func (p *pool) candidates(u *unit, now time.Time) []candidate {
-	var found []candidate
-	if u.job.queue.GetPolicy() == nil {
-		for _, w := range p.workerList {
-			found = p.addCandidate(found, u, w, "", now)
-		}
-		return found
-	}
-	for _, t := range u.advice.allowedTickets {
-		if t.validAt(now) {
-			found = p.addCandidate(found, u, t.worker, t.value, now)
-		}
-	}
-	return found
-}
-
-// addCandidate appends the worker to found if a task of the unit can be started
-// on it now.
-func (p *pool) addCandidate(found []candidate, u *unit, w *worker, ticket string, now time.Time) []candidate {
-	if !w.free.fits(u.size) || !p.mayStartOn(w, u, now) {
-		return found
-	}
-	fitting := p.freeFit(w, u)
-	if fitting <= 0 {
-		return found
-	}
-	return append(found, candidate{worker: w, fitting: fitting, ticket: ticket})
-}
-
-// mayStartOn reports whether the unit may start tasks on the worker now, apart
-// from free capacity and the policy.
-func (p *pool) mayStartOn(w *worker, u *unit, now time.Time) bool {
-	if owner := w.reservedFor; owner != nil && !owner.reservation.allowsBackfill(u, owner, now) {
-		return false
-	}
-	return p.eligible(w, u, now) && p.admits(w, u, now)
-}
-
-// eligible reports whether the worker can take new tasks and has the label that
-// the unit requires, and whether it is a trial worker exactly if the unit needs one. It ignores reservations, capacity and the policy.
-func (p *pool) eligible(w *worker, u *unit, now time.Time) bool {
-	return !w.lost && w.trial == u.risk.onTrial() && w.schedulable(now) && w.hasLabel(u.spec.GetLabel())
-}
--- a/internal/dispatch/urgent_pass.go
+++ b/internal/dispatch/urgent_pass.go
@@ -10,18 +10,12 @@
 //
 // Load pattern: an urgent job arrives, or the policy service answers for it, while thousands of other units wait. Its
 // tasks last about as long as the rest after a whole pass.
-func (p *pool) runUrgentPass() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.d.leaderLease.remaining() <= 0 {
-		return
-	}
-	now := time.Now()
+func (p *pool) runUrgentPass() { p.executePass(p.newUrgentPassState, p.placeUrgent) }
+
+// placeUrgent places the units of urgent jobs that wait.
+func (p *pool) placeUrgent(pass *passState) {
 	nowUnixMs := p.d.nowUnixMs()
-	p.urgentJobs = slices.DeleteFunc(p.urgentJobs, func(j *job) bool { return p.jobs[j.id] != j || !j.mayBeUrgent(now) })
-	pass := p.newUrgentPassState(now)
-	defer p.recordRoom(pass)
-	defer p.recordCut(pass)
+	p.urgentJobs = slices.DeleteFunc(p.urgentJobs, func(j *job) bool { return j.removed || !j.mayBeUrgent(pass.now) })
 	var waiting []*unit
 	for _, j := range p.urgentJobs {
 		for _, u := range j.units {
