dispatch: a start that was not executed is no cause of a crash

Callers saw harmless jobs reported as failed, with the reason that workers crash under their tasks.

Cause: a run counts as sent as soon as its request is made. If the worker's next incarnation shows itself before the request has a connection, the run is among what the former one may have run, and becomes a suspect of its crash once the next one has listed its runs, although the attempt has meanwhile ended with "no connection in time", with no listener, or with a refusal.

Change: a run that certainly never started is marked as not sent when it is discarded, so that a crash that is recorded later leaves it out.

Measured: TestStartThatWasNotExecutedIsNoCauseOfACrash, three of four cases red before (no connection, no listener, refused), all green after; the fourth, a connection that was lost, is suspected as before. The tests of crashes, incarnations and losses pass.

Not mended: a crash that is recorded at once, while an attempt still waits for its connection (a worker that comes back under another id), counts the run. Crashes at the receipt of a start count too: they look like a task that crashes its worker at once.

--- a/internal/dispatch/incarnation_cases_test.go
+++ b/internal/dispatch/incarnation_cases_test.go
@@ -554,6 +554,39 @@
 	is.Equal(len(c.suspects), 0) // the second incarnation has listed that it does not run there
 }
 
+// A worker crashed while a start request for it waited for a connection, or the next incarnation refused the request. The task,
+// which never ran there, was suspected of the crash, and its job was given up for others' crashes.
+func TestStartThatWasNotExecutedIsNoCauseOfACrash(t *testing.T) {
+	for name, c := range map[string]struct {
+		resp      Response
+		err       error
+		suspected int
+	}{
+		"no connection":   {err: ErrNotSent},
+		"no listener":     {err: ErrNoListener},
+		"refused":         {resp: Response{Refusal: RefusedNoCapacity}},
+		"connection lost": {err: ErrConnectionLost, suspected: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p, first, u := poolOfOneWorker()
+			p.startRuns(u, []placement{{u.tasks[0], first, ""}}, time.Now())
+			r := u.tasks[0].run
+			_, _, sent := p.startRequest(r, "", 1)
+			is.True(sent)
+			first.heardAt = time.Now()
+			record := proto.CloneOf(first.record)
+			record.BornUnixMs++
+			p.updateWorkerRecord(record) // of the next incarnation
+			second := p.workers[first.id]
+			is.True(p.handleStartResult(r, c.resp, c.err, time.Now(), 1))
+			is.Equal(len(p.crashUnder(first, second.predecessor.runs, time.Now()).suspects), c.suspected)
+			p.settlePredecessor(second, map[runKey]bool{})
+			is.Equal(u.tasks[0].crashUnrecorded, c.suspected > 0)
+		})
+	}
+}
+
 // Two runs of a task are over on a worker, and start requests of both may still be executed by its next
 // incarnation. The task waits until both are fenced there.
 func TestTaskWaitsUntilAllItsLateStartsAreFenced(t *testing.T) {
--- a/internal/dispatch/start_stop.go
+++ b/internal/dispatch/start_stop.go
@@ -280,6 +280,7 @@
 func (p *pool) discardUnstartedRun(r *run, reason string, backoff time.Duration) {
 	p.d.Logger.Warn("start refused", logRun(r), "reason", reason)
 	r.task.notBefore = time.Now().Add(backoff)
+	r.sent = false // a crash of its worker's former incarnation may not be recorded yet
 	u := r.task.unit
 	p.discardRun(r)
 	if u.spec.GetGang() {
