--- a/internal/dispatch/leader_budget_test.go
+++ b/internal/dispatch/leader_budget_test.go
@@ -94,7 +94,8 @@
 	}
 	l.created++
 	submitted := &apiv1.CallerJob{
-		Id: fmt.Sprintf("%016x", l.created), Queue: queue, Spec: &apiv1.JobSpec{Steps: []*apiv1.JobStep{step}}, AcceptedUnixMs: l.begin.Add(at).UnixMilli(),
+		Id: fmt.Sprintf("%016x", l.created), Queue: queue, Spec: &apiv1.JobSpec{Steps: []*apiv1.JobStep{step}},
+		AcceptedUnixMs: l.begin.Add(at).UnixMilli(),
 	}
 	if l.admitByLoad(submitted, time.Now()).Refused {
 		l.refused++
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -62,7 +62,8 @@
 	return &pool{
 		d: d, service: service, wakeup: make(chan struct{}, 1), urgentWakeup: make(chan struct{}, 1),
 		workers: make(map[string]*worker), jobs: make(map[string]*job),
-		allowedShares: make(map[string]float64), unreconciled: make(map[string]time.Time), departed: make(map[string]*job), occupied: make(map[string]resources), parkedSums: make(map[string]parkedSums),
+		allowedShares: make(map[string]float64), unreconciled: make(map[string]time.Time), departed: make(map[string]*job),
+		occupied: make(map[string]resources), parkedSums: make(map[string]parkedSums),
 		trialsInUse: true, loadAdmission: newLoadAdmission(d.AdmitsByLoad),
 		containments: make(map[string]*containment), crashedWorkers: make(crashedWorkers), silentLosses: make(silentLosses),
 	}
--- a/internal/dispatch/urgent_pass.go
+++ b/internal/dispatch/urgent_pass.go
@@ -19,7 +19,8 @@
 	var waiting []*unit
 	for _, j := range p.urgentJobs {
 		for _, u := range j.units {
-			if (u.parking == nil || p.returns(u.parking, pass)) && p.waitsInPass(u, pass, nowUnixMs) && u.rank.band == bandUrgent && !u.risk.onTrial() {
+			returns := u.parking == nil || p.returns(u.parking, pass)
+			if returns && p.waitsInPass(u, pass, nowUnixMs) && u.rank.band == bandUrgent && !u.risk.onTrial() {
 				waiting = append(waiting, u)
 			}
 		}
