test/failure: the soak counts failures that a worker reported before it crashed

Traced: its task 0.0.1 failed three times, runs 3145730 on i-4, 3145733 on i-1 and 3145735 on i-4, and the leader wrote "job failed" at the third. The checker had counted fewer, as it counts a failure once its result is acknowledged to the worker, and workers crashed in series in that run: a worker that crashes between its report and the acknowledgement never gets it, while the leader has committed the failure. The stated rule is that max_attempts runs of the task have ended as failed.

For the state that callers may read, the checker now counts the failures that workers have told in a response. That no task starts after soakMaxAttempts acknowledged failures is checked as before. A failure that no response has told does not count in either check.

--- a/test/failure/soak_checker_test.go
+++ b/test/failure/soak_checker_test.go
@@ -24,9 +24,11 @@
 	// time when this was acknowledged to the worker, which then forgets the run.
 	// Both are by task.
 	doneAt, doneAckedAt map[string]time.Time
-	ackedFailures       map[string]map[int64]bool // runs whose failure was acknowledged, by task or, for gangs, by job
-	highestAckedVersion int64                     // of the configuration
-	violations          []string
+	// ackedFailures and reportedFailures are the runs whose failure was acknowledged to the worker, and those whose
+	// failure it has reported, by task or, for gangs, by job.
+	ackedFailures, reportedFailures map[string]map[int64]bool
+	highestAckedVersion             int64 // of the configuration
+	violations                      []string
 }
 
 // soakJob is a job as observed by its caller.
@@ -60,7 +62,8 @@
 		began: time.Now(), jobs: make(map[string]*soakJob), runningOn: make(map[string]map[string]bool),
 		lastStart: make(map[string]time.Time), doneAt: make(map[string]time.Time),
 		doneAckedAt: make(map[string]time.Time), ackedFailures: make(map[string]map[int64]bool),
-		runs: make(map[soakRunKey]string), deadly: make(map[string]*soakDeadlyTask), crashes: make(map[string]int),
+		reportedFailures: make(map[string]map[int64]bool),
+		runs:             make(map[soakRunKey]string), deadly: make(map[string]*soakDeadlyTask), crashes: make(map[string]int),
 	}
 }
 
@@ -154,14 +157,7 @@
 			c.addViolation("%s started again before its result done was acknowledged", task)
 		}
 	case "failed":
-		countedAs := task
-		if j := c.jobs[jobOf(task)]; j != nil && j.gang {
-			countedAs = j.id // the failures of a gang's members are countedAs together
-		}
-		if c.ackedFailures[countedAs] == nil {
-			c.ackedFailures[countedAs] = make(map[int64]bool)
-		}
-		c.ackedFailures[countedAs][run] = true
+		c.addFailure(c.ackedFailures, task, run)
 	}
 }
 
@@ -241,17 +237,6 @@
 	return count
 }
 
-// hasFailed reports whether a task of the job failed soakMaxAttempts times. The caller
-// holds the lock.
-func (c *soakChecker) hasFailed(id string) bool {
-	for task, runs := range c.ackedFailures {
-		if jobOf(task) == id && len(runs) >= soakMaxAttempts {
-			return true
-		}
-	}
-	return false
-}
-
 // versionAcknowledged records that the publication of a version was acknowledged.
 func (c *soakChecker) versionAcknowledged(version int64) {
 	c.mu.Lock()
--- a/test/failure/soak_worker_test.go
+++ b/test/failure/soak_worker_test.go
@@ -289,6 +289,7 @@
 		active = append(active, []any{one.task, one.run, "", 100, 0})
 	}
 	for _, one := range w.ended {
+		w.checker.endReported(one.task, one.run, one.result)
 		ended = append(ended, []any{one.sequence, one.task, one.run, one.result, ""})
 	}
 	connection.polled = w.born
