replica: log each voter's calls and votes while there is no leader

It could not tell slow calls from processes that are gone or have another incarnation.

Change: the counts that decide come first (role, campaigns, voters, granted, refused, learners, sync time). One line for each other voter follows, with its vote, the time since it last answered a call, the number of unanswered calls, how long the oldest one waits and the last error. The timer replica.calls has how long calls take.

Measured: TestLogTellsWhyThereIsNoLeader checks both lines. No decision is changed.

--- a/internal/replica/counters.go
+++ b/internal/replica/counters.go
@@ -8,6 +8,7 @@
 	applied            metrics.Counter
 	messagesSent       metrics.Counter
 	messagesDropped    metrics.Counter // because a queue was full or the receiver's address unknown
+	calls              metrics.Timer   // to other members, until the response
 	callsFailed        metrics.Counter
 	snapshotsSaved     metrics.Counter
 	snapshotsSent      metrics.Counter
@@ -23,6 +24,7 @@
 		applied:            metrics.GetOrRegisterCounter("replica.applied", registry),
 		messagesSent:       metrics.GetOrRegisterCounter("replica.messages.sent", registry),
 		messagesDropped:    metrics.GetOrRegisterCounter("replica.messages.dropped", registry),
+		calls:              metrics.GetOrRegisterTimer("replica.calls", registry),
 		callsFailed:        metrics.GetOrRegisterCounter("replica.calls.failed", registry),
 		snapshotsSaved:     metrics.GetOrRegisterCounter("replica.snapshots.saved", registry),
 		snapshotsSent:      metrics.GetOrRegisterCounter("replica.snapshots.sent", registry),
--- a/internal/replica/leaderless.go
+++ b/internal/replica/leaderless.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 )
 
 // leaderlessLogInterval is how long a member must have known no leader to log that, and the time between two such
@@ -28,21 +30,43 @@
 		return
 	}
 	r.leaderless.logged = now
-	election, identity := r.core.Election(), r.store.Identity()
-	var voters []string
-	for _, voter := range r.core.Membership().GetVoters() {
-		id, vote := voter.GetIncarnation(), "no response"
-		if granted, responded := election.Votes[id]; responded {
-			vote = map[bool]string{true: "granted", false: "refused"}[granted]
+	r.logElection(now)
+}
+
+// logElection logs the state of this member's search for a leader, and a line for each other voter. What tells most
+// comes first, as collectors may cut lines.
+func (r *Replica) logElection(now time.Time) {
+	election, membership := r.core.Election(), r.core.Membership()
+	granted, refused := 0, 0
+	for _, voter := range membership.GetVoters() {
+		if vote, responded := election.Votes[voter.GetIncarnation()]; vote {
+			granted++
+		} else if responded {
+			refused++
 		}
-		text := fmt.Sprintf("%s (%x) at %s: vote %s", voter.GetName(), id, voter.GetAddress(), vote)
-		if failure := r.transport.lastFailure(id); failure != "" {
-			text += "; last call failed: " + failure
+	}
+	r.config.Logger.Info("no leader", "role", election.Role.String(), "campaigns", election.Campaigns,
+		"voters", len(membership.GetVoters()), "granted", granted, "refused", refused, "learners", len(membership.GetLearners()),
+		"sync_ms", r.syncTimes.typical().Milliseconds(), "since_ms", now.Sub(r.leaderless.since).Milliseconds(), "term", r.core.Term(),
+		"may_campaign", election.MayCampaign, "last_index", election.LastIndex, "last_term", election.LastTerm, "commit", r.core.CommitIndex(),
+		"incarnation", formatIncarnation(r.store.Identity().Incarnation))
+	for _, voter := range membership.GetVoters() {
+		if voter.GetIncarnation() != r.store.Identity().Incarnation {
+			r.logVoter(now, voter, election.Votes)
 		}
-		voters = append(voters, text)
 	}
-	r.config.Logger.Info("no leader", "since_ms", now.Sub(r.leaderless.since).Milliseconds(), "role", election.Role.String(),
-		"term", r.core.Term(), "campaigns", election.Campaigns, "may_campaign", election.MayCampaign, "incarnation", fmt.Sprintf("%x", identity.Incarnation),
-		"last_index", election.LastIndex, "last_term", election.LastTerm, "commit", r.core.CommitIndex(),
-		"sync_ms", r.syncTimes.typical().Milliseconds(), "voters", voters)
 }
+
+// logVoter logs what is known of a voter during the search for a leader.
+func (r *Replica) logVoter(now time.Time, voter *apiv1.MemberInfo, votes map[uint64]bool) {
+	id, vote := voter.GetIncarnation(), "no response"
+	if granted, responded := votes[id]; responded {
+		vote = map[bool]string{true: "granted", false: "refused"}[granted]
+	}
+	calls := r.transport.callsTo(id, now)
+	r.config.Logger.Info("voter during search for a leader", "voter", voter.GetName(), "vote", vote,
+		"response_ms_ago", calls.sinceResponse.Milliseconds(), "unanswered", calls.unanswered, "waited_ms", calls.waited.Milliseconds(),
+		"error", calls.failure, "address", voter.GetAddress(), "incarnation", formatIncarnation(id))
+}
+
+func formatIncarnation(incarnation uint64) string { return fmt.Sprintf("%x", incarnation) }
--- a/internal/replica/leadership_test.go
+++ b/internal/replica/leadership_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -74,6 +75,10 @@
 	}
 	eventually(t, "the reason in the log", func() bool {
 		text := log.String()
-		return strings.Contains(text, "no leader") && strings.Contains(text, c.nodes[1].config.Address+": vote no response; last call failed: ")
+		return strings.Contains(text, `msg="no leader" role=pre-candidate campaigns=0 voters=3 granted=1 refused=0`) &&
+			slices.ContainsFunc(strings.Split(text, "\n"), func(line string) bool {
+				return strings.Contains(line, `vote="no response"`) && !strings.Contains(line, `error=""`) &&
+					strings.Contains(line, "address="+c.nodes[1].config.Address)
+			})
 	})
 }
--- a/internal/replica/sender.go
+++ b/internal/replica/sender.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -23,7 +22,7 @@
 	stop          chan struct{} // closed to stop the sender
 	httpTransport *http.Transport
 	client        apiv1.Peer
-	failure       atomic.Pointer[string] // why the last call failed; nil: it succeeded
+	times         callTimes
 }
 
 // snapshotResult tells whether a snapshot has reached the process of a member.
@@ -120,22 +119,22 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	identity := s.transport.store.Identity()
+	open := s.times.begin()
 	_, err := s.client.Step(ctx, &apiv1.StepRequest{
 		ClusterId:   identity.ClusterID,
 		Messages:    batch,
 		From:        identity.Incarnation,
 		FromAddress: s.transport.config.Address,
 	})
+	s.times.end(open, err)
 	if err != nil {
 		s.transport.counters.callsFailed.Inc(1)
 		// An idle connection may be dead without having been closed; the next
 		// call must not reuse it.
 		s.httpTransport.CloseIdleConnections()
-		text := err.Error()
-		s.failure.Store(&text)
 		return err
 	}
-	s.failure.Store(nil)
+	s.transport.counters.calls.UpdateSince(open.begun)
 	return nil
 }
 
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -73,18 +74,15 @@
 	return t.learnedAddresses[incarnation]
 }
 
-// lastFailure returns why the last call to the incarnation failed, or "" if it succeeded or there was none.
-func (t *transport) lastFailure(incarnation uint64) string {
+// callsTo describes the calls to the incarnation.
+func (t *transport) callsTo(incarnation uint64, now time.Time) callSummary {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	s := t.senders[incarnation]
+	t.mu.Unlock()
 	if s == nil {
-		return ""
-	}
-	if text := s.failure.Load(); text != nil {
-		return *text
+		return (&callTimes{}).summary(now)
 	}
-	return ""
+	return s.times.summary(now)
 }
 
 // learnAddress records the address that a request gave as its sender's. It is
