replica: a slow call to a member goes on beside newer ones

Callers saw: no leader for as long as calls between members took longer than 160 ms.

Cause: a call was given up at Config.CallTimeout, its connections were closed, and the next one dialled and waited anew. If something held calls for that long (a full accept queue, a process without processor time), none ever arrived. Class: a timeout shorter than what it waits for, whose expiry throws the work away and repeats it.

Change: after CallTimeout without a response a call no longer holds up newer messages. They go out on a new connection, as the old one may be dead, and the call goes on for 16 times as long. So at most 16 calls to a member are in progress.

Ruled out: longer timeouts for all, since a silent connection would cost an election each time.

--- a/internal/replica/counters.go
+++ b/internal/replica/counters.go
@@ -10,6 +10,7 @@
 	messagesDropped    metrics.Counter // because a queue was full or the receiver's address unknown
 	calls              metrics.Timer   // to other members, until the response
 	callsFailed        metrics.Counter
+	callsOvertaken     metrics.Counter // by newer messages, as they took longer than Config.CallTimeout
 	snapshotsSaved     metrics.Counter
 	snapshotsSent      metrics.Counter
 	snapshotsInstalled metrics.Counter
@@ -26,6 +27,7 @@
 		messagesDropped:    metrics.GetOrRegisterCounter("replica.messages.dropped", registry),
 		calls:              metrics.GetOrRegisterTimer("replica.calls", registry),
 		callsFailed:        metrics.GetOrRegisterCounter("replica.calls.failed", registry),
+		callsOvertaken:     metrics.GetOrRegisterCounter("replica.calls.overtaken", registry),
 		snapshotsSaved:     metrics.GetOrRegisterCounter("replica.snapshots.saved", registry),
 		snapshotsSent:      metrics.GetOrRegisterCounter("replica.snapshots.sent", registry),
 		snapshotsInstalled: metrics.GetOrRegisterCounter("replica.snapshots.installed", registry),
--- a/internal/replica/sender.go
+++ b/internal/replica/sender.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -10,9 +11,10 @@
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 )
 
-// sender delivers messages to one member, in order and one call at a time.
-// Snapshots are sent concurrently with the other messages, so that they don't
-// delay heartbeats.
+// sender delivers messages to one member, in order as long as calls are answered within Config.CallTimeout. A call
+// that takes longer goes on, since a slow network or process may still deliver it, and newer messages are sent beside it
+// over another connection: its own may be dead. Snapshots are sent concurrently with the other messages, so that they
+// don't delay heartbeats.
 type sender struct {
 	transport     *transport
 	incarnation   uint64
@@ -23,6 +25,7 @@
 	httpTransport *http.Transport
 	client        apiv1.Peer
 	times         callTimes
+	calls         sync.WaitGroup // in progress
 }
 
 // snapshotResult tells whether a snapshot has reached the process of a member.
@@ -39,6 +42,8 @@
 	maxIdleConns              = 2
 	idleConnTimeout           = 30 * time.Second
 	minSnapshotBytesPerSecond = 512 << 10 // slowest transfer rate that snapshot timeouts allow for
+	// maxOverlappingCalls is how many calls to a member are in progress at a time, but for snapshots, if none is answered.
+	maxOverlappingCalls = 16
 )
 
 func newSender(t *transport, incarnation uint64, address string) *sender {
@@ -82,6 +87,7 @@
 // is stopped.
 func (s *sender) run(ctx context.Context) error {
 	defer s.httpTransport.CloseIdleConnections()
+	defer s.calls.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -94,7 +100,8 @@
 	}
 }
 
-// sendBatch sends the first message and those queued after it in one call.
+// sendBatch sends the first message and those queued after it in one call. It returns once the call is answered or may be
+// overtaken.
 func (s *sender) sendBatch(ctx context.Context, first *apiv1.RaftMessage) {
 	batch := []*apiv1.RaftMessage{first}
 	size := proto.Size(first)
@@ -103,9 +110,27 @@
 		batch = append(batch, next)
 		size += proto.Size(next)
 	}
-	timeout := s.transport.config.CallTimeout + transferTime(size, minLinkBytesPerSecond)
-	if s.call(ctx, batch, timeout) == nil {
-		s.transport.counters.messagesSent.Inc(int64(len(batch)))
+	patience := s.transport.config.CallTimeout + transferTime(size, minLinkBytesPerSecond)
+	done := make(chan struct{})
+	s.calls.Go(func() {
+		defer close(done)
+		if s.call(ctx, batch, maxOverlappingCalls*patience) == nil {
+			s.transport.counters.messagesSent.Inc(int64(len(batch)))
+		}
+	})
+	s.awaitCall(ctx, done, patience)
+}
+
+// awaitCall waits for the end of a call. After the given time it lets the next one go ahead on a new connection.
+func (s *sender) awaitCall(ctx context.Context, done <-chan struct{}, patience time.Duration) {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	case <-timer.C:
+		s.transport.counters.callsOvertaken.Inc(1)
+		s.httpTransport.CloseIdleConnections()
 	}
 }
 
@@ -173,6 +198,6 @@
 	}
 	message.Snapshot = snapshot.Meta
 	message.SnapshotData = snapshot.Data
-	timeout := s.transport.config.CallTimeout + transferTime(len(snapshot.Data), minSnapshotBytesPerSecond)
+	timeout := maxOverlappingCalls*s.transport.config.CallTimeout + transferTime(len(snapshot.Data), minSnapshotBytesPerSecond)
 	return s.call(ctx, []*apiv1.RaftMessage{message}, timeout)
 }
