raft, replica: elections wait for slow messages

Callers saw: no leader within 12 s while calls between members were held for 400 or 800 ms, although the calls arrived.

Cause: election timeouts (0.3 s) and the wait for votes (0.15 s) were shorter than a request and its response took. Each candidate began the next term before the votes for the last one arrived, and the pre-votes of members that stood at the same time crossed, which split the votes: more often the slower messages are. Class: as before, a timeout shorter than what it waits for.

Change: the timeouts follow the time that calls to the fastest majority take, as they follow the syncs, with the same limit (4.8 s). A member that grants a pre-vote restarts its timer, and of two pre-candidates the one with the lower incarnation withdraws, once until it campaigns or knows a leader.

Ruled out: the second longest of the latest four calls as their time. The shortest counts, and a call that began before one that was answered already does not.

--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -19,11 +19,13 @@
 	members *membershipLog
 	random  *rand.Rand
 
-	electionTicks        int // since the last message from the leader, vote granted or campaign begun
-	electionTimeoutTicks int // randomized for each wait
-	heartbeatTicks       int // since the last heartbeat sent as leader
-	syncTicks            int // that a sync takes, see SetSyncTicks
-	campaigns            int // begun since a leader was last known, or before this member was elected
+	electionTicks        int  // since the last message from the leader, vote granted or campaign begun
+	electionTimeoutTicks int  // randomized for each wait
+	heartbeatTicks       int  // since the last heartbeat sent as leader
+	syncTicks            int  // that a sync takes, see SetSyncTicks
+	messageTicks         int  // that a message takes, see SetMessageTicks
+	campaigns            int  // begun since a leader was last known, or before this member was elected
+	deferred             bool // to another pre-candidate, see deferTo
 
 	votes          map[uint64]bool      // responses to a (pre-)candidate by incarnation; true: granted
 	ownVotePending bool                 // a candidate's own vote, to be counted once it is on disk
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -51,8 +51,9 @@
 	c.vote = c.id
 	c.leader = 0
 	c.campaigns++
+	c.deferred = false
 	c.resetRole()
-	c.restartElectionTimer(max(1, c.stretch(c.shortestElectionTicks()/campaignRetryDivisor)))
+	c.restartElectionTimer(c.stretch(c.shortestCampaignTicks()))
 	c.votes = make(map[uint64]bool)
 	c.requestVotes(apiv1.RaftMessage_TYPE_VOTE, c.term, transfer)
 	c.ownVotePending = true
@@ -61,7 +62,7 @@
 // shortenElectionTimer makes a campaign that ended in a split vote start again
 // sooner than a follower's election timeout.
 func (c *Core) shortenElectionTimer() {
-	c.restartElectionTimer(max(1, c.shortestElectionTicks()/campaignRetryDivisor))
+	c.restartElectionTimer(c.shortestCampaignTicks())
 }
 
 // campaignRetryDivisor is what the shortest election timeout is divided by to
@@ -130,6 +131,7 @@
 	}
 	if preVote && granted {
 		response.Term = m.GetTerm()
+		c.deferTo(m.GetFrom())
 	}
 	if !preVote && granted {
 		c.vote = m.GetFrom()
@@ -138,6 +140,17 @@
 	c.sendAfterSync(response)
 }
 
+// deferTo restarts the election timer for a pre-candidate that may win, so that this member does not split the votes. Of
+// two pre-candidates the one with the lower incarnation defers. It does so once until it campaigns or knows a leader, as
+// the other one may not be able to win after all.
+func (c *Core) deferTo(candidate uint64) {
+	if c.deferred || c.role == Candidate || c.role == Leader || c.role == PreCandidate && candidate < c.id {
+		return
+	}
+	c.deferred = true
+	c.becomeFollower(c.term, 0)
+}
+
 // handleTimeoutNow campaigns at once because the leader transfers leadership to
 // this member.
 func (c *Core) handleTimeoutNow() {
--- a/internal/raft/follower.go
+++ b/internal/raft/follower.go
@@ -19,6 +19,7 @@
 	c.leader = leader
 	c.electionTicks = 0
 	c.campaigns = 0
+	c.deferred = false
 }
 
 func (c *Core) handleAppend(m *apiv1.RaftMessage) {
--- a/internal/raft/timeouts.go
+++ b/internal/raft/timeouts.go
@@ -3,13 +3,18 @@
 // Members write votes and entries to disk before they respond, and do nothing else meanwhile. If that
 // takes as long as the timeouts, candidates begin the next term before the voters have stored their votes for
 // the last one, and leaders are deposed while they write: no leadership lasts for as long as the disks
-// are slow. So the timeouts follow the time that syncs take here, and the number of failed campaigns, which
-// shows how slow the others are.
+// are slow. The same holds for messages that take as long to arrive. So the timeouts follow the time that syncs and
+// messages take here, and the number of failed campaigns, which shows how slow the others are.
 
 const (
 	// syncsPerElectionTimeout is how many syncs fit in the shortest election timeout: the leader may be silent for
 	// one, and the follower has to notice the end of it.
 	syncsPerElectionTimeout = 3
+	// messagesPerElectionTimeout is how many messages, one after the other, fit in the shortest election timeout besides:
+	// a vote and the leader's first message, and the same again as a margin.
+	messagesPerElectionTimeout = 4
+	// messagesPerCampaign fit in the wait for votes: the request, the response, and one as a margin.
+	messagesPerCampaign = 3
 	// maxElectionStretch limits the timeouts, as a multiple of Options.ElectionTicks.
 	maxElectionStretch = 16
 	maxDoublings       = 5 // from the shortest wait for votes to that limit
@@ -22,7 +27,19 @@
 func (c *Core) SetSyncTicks(n int) {
 	before := c.shortestElectionTicks()
 	c.syncTicks = n
-	if c.role == Follower && c.shortestElectionTicks() != before {
+	c.adjustElectionTimeout(before)
+}
+
+// SetMessageTicks tells the core how many ticks a message to the others takes at present.
+func (c *Core) SetMessageTicks(n int) {
+	before := c.shortestElectionTicks()
+	c.messageTicks = n
+	c.adjustElectionTimeout(before)
+}
+
+// adjustElectionTimeout draws the election timeout again if the shortest one has changed.
+func (c *Core) adjustElectionTimeout(shortestBefore int) {
+	if c.role == Follower && c.shortestElectionTicks() != shortestBefore {
 		c.drawElectionTimeout(c.shortestElectionTicks())
 	}
 }
@@ -30,7 +47,13 @@
 // shortestElectionTicks returns the shortest election timeout.
 func (c *Core) shortestElectionTicks() int {
 	shortest := c.options.ElectionTicks
-	return min(max(shortest, syncsPerElectionTimeout*c.syncTicks), maxElectionStretch*shortest)
+	needed := syncsPerElectionTimeout*c.syncTicks + messagesPerElectionTimeout*c.messageTicks
+	return min(max(shortest, needed), maxElectionStretch*shortest)
+}
+
+// shortestCampaignTicks returns the shortest wait for votes, unless campaigns have failed.
+func (c *Core) shortestCampaignTicks() int {
+	return max(1, c.shortestElectionTicks()/campaignRetryDivisor, messagesPerCampaign*c.messageTicks)
 }
 
 // stretch doubles a number of ticks for each failed campaign beyond promptCampaigns, up to the limit.
--- a/internal/raft/timeouts_test.go
+++ b/internal/raft/timeouts_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 )
 
 // A member whose syncs take longer than the election timeout deposed each leader while it wrote.
@@ -60,3 +62,46 @@
 	}
 	is.Equal(leader.core.campaigns, promptCampaigns+1)
 }
+
+// A candidate began the next term before the votes for the last one had arrived, for as long as messages were slow.
+func TestElectionTimeoutFollowsTheMessageTime(t *testing.T) {
+	is := is.New(t)
+	sim, _ := newSimulationWithLeader(t, 3)
+	member := sim.members[1].core
+	base := member.options.ElectionTicks
+	member.SetMessageTicks(base / (2 * messagesPerElectionTimeout))
+	is.Equal(member.shortestElectionTicks(), base)
+	member.SetMessageTicks(base)
+	is.Equal(member.shortestElectionTicks(), messagesPerElectionTimeout*base)
+	member.campaign(false)
+	is.True(member.electionTimeoutTicks >= messagesPerCampaign*base)
+	member.SetMessageTicks(1000 * base)
+	is.Equal(member.shortestElectionTicks(), maxElectionStretch*base)
+}
+
+// Members that stood for election at the same time split the votes, the more often the slower messages were.
+func TestPreCandidateDefersOnceToOneThatMayWin(t *testing.T) {
+	is := is.New(t)
+	sim, leader := newSimulationWithLeader(t, 3)
+	core := sim.members[1].core
+	if core.id == leader.id {
+		core = sim.members[0].core
+	}
+	request := func(from uint64) *apiv1.RaftMessage {
+		return &apiv1.RaftMessage{
+			Type: apiv1.RaftMessage_TYPE_PRE_VOTE, From: from, To: core.id, Term: core.term + 1,
+			Index: core.log.last(), LogTerm: core.log.lastTerm(),
+		}
+	}
+	core.leader = 0
+	core.preCampaign()
+	core.Step(request(core.id - 1))
+	is.Equal(core.Role(), PreCandidate) // the other one defers
+	core.Step(request(core.id + 1))
+	is.Equal(core.Role(), Follower)
+	core.preCampaign()
+	core.Step(request(core.id + 1))
+	is.Equal(core.Role(), PreCandidate) // the other one has had its chance
+	core.followLeader(leader.id)
+	is.True(!core.deferred)
+}
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -85,6 +86,26 @@
 	return s.times.summary(now)
 }
 
+// messageTime returns how long messages take at present to as many other voters as a majority needs, the fastest ones.
+// Those that don't answer are left out.
+func (t *transport) messageTime(voters []*apiv1.MemberInfo, now time.Time) time.Duration {
+	var times []time.Duration
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, voter := range voters {
+		if s := t.senders[voter.GetIncarnation()]; s != nil {
+			if typical, ok := s.times.typical(now, t.config.CallTimeout); ok {
+				times = append(times, typical)
+			}
+		}
+	}
+	slices.Sort(times)
+	if needed := min(len(voters)/2, len(times)); needed > 0 {
+		return times[needed-1]
+	}
+	return 0
+}
+
 // learnAddress records the address that a request gave as its sender's. It is
 // used to answer a member that this member's membership does not list (yet).
 func (t *transport) learnAddress(incarnation uint64, address string) {
