--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -19,13 +19,14 @@
 	members *membershipLog
 	random  *rand.Rand
 
-	electionTicks        int  // since the last message from the leader, vote granted or campaign begun
-	electionTimeoutTicks int  // randomized for each wait
-	heartbeatTicks       int  // since the last heartbeat sent as leader
-	syncTicks            int  // that a sync takes, see SetSyncTicks
-	messageTicks         int  // that a message takes, see SetMessageTicks
-	campaigns            int  // begun since a leader was last known, or before this member was elected
-	deferred             bool // to another pre-candidate, see deferTo
+	electionTicks        int     // since the last message from the leader, vote or pre-vote granted, or campaign begun
+	electionTimeoutTicks int     // randomized for each wait
+	electionDraw         float64 // of the current election timeout, in [0, 1)
+	heartbeatTicks       int     // since the last heartbeat sent as leader
+	syncTicks            int     // that a sync takes, see SetSyncTicks
+	messageTicks         int     // that a message takes, see SetMessageTicks
+	campaigns            int     // begun since a leader was last known, or before this member was elected
+	deferred             bool    // to another pre-candidate, see deferTo
 
 	votes          map[uint64]bool      // responses to a (pre-)candidate by incarnation; true: granted
 	ownVotePending bool                 // a candidate's own vote, to be counted once it is on disk
@@ -136,7 +137,14 @@
 }
 
 func (c *Core) drawElectionTimeout(shortest int) {
-	c.electionTimeoutTicks = shortest + c.random.IntN(shortest)
+	c.electionDraw = c.random.Float64()
+	c.scaleElectionTimeout(shortest)
+}
+
+// scaleElectionTimeout sets the election timeout for another shortest one, without another draw: the members' timeouts
+// would approach the shortest one if it changed often.
+func (c *Core) scaleElectionTimeout(shortest int) {
+	c.electionTimeoutTicks = shortest + int(c.electionDraw*float64(shortest))
 }
 
 // send queues a message that may be sent before this member's state is synced.
--- a/internal/raft/timeouts.go
+++ b/internal/raft/timeouts.go
@@ -37,10 +37,10 @@
 	c.adjustElectionTimeout(before)
 }
 
-// adjustElectionTimeout draws the election timeout again if the shortest one has changed.
+// adjustElectionTimeout scales the election timeout if the shortest one has changed.
 func (c *Core) adjustElectionTimeout(shortestBefore int) {
 	if c.role == Follower && c.shortestElectionTicks() != shortestBefore {
-		c.drawElectionTimeout(c.shortestElectionTicks())
+		c.scaleElectionTimeout(c.shortestElectionTicks())
 	}
 }
 
