--- a/internal/replica/call_times.go
+++ b/internal/replica/call_times.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -11,6 +12,8 @@
 	// callTimesExpiry is how long after a call its duration says something about the next ones.
 	callTimesExpiry = 5 * time.Second
 	maxLatestCalls  = 4
+	// responseBunching is how many times closer together than their calls responses come after a suspension.
+	responseBunching = 4
 )
 
 // callTimes is what a sender knows of its calls to one member. The zero value is ready for use. It is safe for
@@ -25,18 +28,21 @@
 
 // openCall is a call in progress.
 type openCall struct {
-	begun time.Time
+	begun  time.Time
+	size   int // of its messages, in bytes
+	cancel context.CancelFunc
 }
 
 // answeredCall is a call that was answered.
 type answeredCall struct {
-	begun time.Time
-	took  time.Duration
+	begun, ended time.Time
 }
 
-// begin records that a call begins. The caller passes the result to end.
-func (c *callTimes) begin() *openCall {
-	call := &openCall{begun: time.Now()}
+func (c answeredCall) took() time.Duration { return c.ended.Sub(c.begun) }
+
+// begin records that a call of messages of the given size begins. The caller passes the result to end.
+func (c *callTimes) begin(size int, cancel context.CancelFunc) *openCall {
+	call := &openCall{begun: time.Now(), size: size, cancel: cancel}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unanswered = append(c.unanswered, call)
@@ -52,15 +58,35 @@
 		c.failure = err.Error()
 		return
 	}
+	c.record(answeredCall{call.begun, time.Now()})
 	c.respondedAt, c.failure = time.Now(), ""
-	c.record(answeredCall{call.begun, c.respondedAt.Sub(call.begun)})
 }
 
-// record keeps the duration of an answered call. One that began before others that are answered already says nothing
-// about the present: its connection was dead, or its receiver suspended.
+// cancelOldest cancels the oldest calls in progress while all of them hold more than the given number of bytes.
+func (c *callTimes) cancelOldest(bytes int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held := 0
+	for _, call := range slices.Backward(c.unanswered) {
+		if held += call.size; held > bytes {
+			call.cancel()
+		}
+	}
+}
+
+// record keeps an answered call, unless one that began later is answered already. Calls whose responses come much closer
+// together than they began waited for a suspended receiver: only the last of them tells how long calls take.
 func (c *callTimes) record(call answeredCall) {
-	if n := len(c.latest); n > 0 && call.begun.Before(c.latest[n-1].begun) {
-		return
+	if n := len(c.latest); n > 0 {
+		last := c.latest[n-1]
+		switch began := call.begun.Sub(last.begun); {
+		case began < 0:
+			return
+		case began > callTimesExpiry:
+			c.latest = nil
+		case call.ended.Sub(last.ended) < began/responseBunching:
+			c.latest = c.latest[:n-1]
+		}
 	}
 	c.latest = append(c.latest, call)
 	if len(c.latest) > maxLatestCalls {
@@ -68,21 +94,20 @@
 	}
 }
 
-// typical returns how long calls take at present: the shortest time of the latest ones, since a receiver that was
-// suspended answers several late. It returns false if none was answered lately, or the oldest one in progress has waited
-// for longer than patience and more than twice as long.
+// typical returns how long calls take at present, the median of the latest ones. It returns false if none was answered
+// lately, or the oldest one in progress has waited for longer than patience and more than twice as long.
 func (c *callTimes) typical(now time.Time, patience time.Duration) (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if now.Sub(c.respondedAt) > callTimesExpiry {
-		c.latest = nil
 		return 0, false
 	}
-	shortest := slices.MinFunc(c.latest, func(a, b answeredCall) int { return cmp.Compare(a.took, b.took) }).took
-	if len(c.unanswered) > 0 && c.respondedAt.Before(c.unanswered[0].begun) && now.Sub(c.unanswered[0].begun) > max(patience, 2*shortest) {
+	sorted := slices.SortedFunc(slices.Values(c.latest), func(a, b answeredCall) int { return cmp.Compare(a.took(), b.took()) })
+	usual := sorted[len(sorted)/2].took()
+	if len(c.unanswered) > 0 && c.respondedAt.Before(c.unanswered[0].begun) && now.Sub(c.unanswered[0].begun) > max(patience, 2*usual) {
 		return 0, false
 	}
-	return shortest, true
+	return usual, true
 }
 
 // callSummary describes the calls to one member at a point in time.
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -30,7 +30,7 @@
 	TickInterval      time.Duration
 	HeartbeatInterval time.Duration
 	ElectionTimeout   time.Duration // shortest election timeout; the longest is twice as long
-	CallTimeout       time.Duration // of a call to another member; time to transfer its content is added
+	CallTimeout       time.Duration // after which newer messages overtake a call to another member; time to transfer its content is added
 	Seed              uint64        // of the randomized election timeouts
 
 	SnapshotEntries uint64 // number of applied entries after which a snapshot is taken
@@ -47,7 +47,7 @@
 	defaultTickInterval      = 20 * time.Millisecond
 	defaultHeartbeatInterval = 100 * time.Millisecond
 	defaultElectionTimeout   = 500 * time.Millisecond
-	// A heartbeat interval plus a call that times out on a dead connection must
+	// A heartbeat interval plus a call that is overtaken on a dead connection must
 	// take less than the shortest election timeout.
 	defaultCallTimeout     = 250 * time.Millisecond
 	defaultSnapshotEntries = 20_000
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -94,7 +94,9 @@
 	}
 	r.tickedAt = r.tickedAt.Add(due * r.config.TickInterval)
 	r.core.SkipTicks(int(due) - 1)
-	r.core.SetMessageTicks(int(r.transport.messageTime(r.core.Membership().GetVoters(), now) / r.config.TickInterval))
+	if messageTime, known := r.transport.messageTime(r.core.Membership().GetVoters(), now); known {
+		r.core.SetMessageTicks(int(messageTime / r.config.TickInterval))
+	}
 	r.core.Tick()
 	r.publishProgress(now)
 	r.logLeaderless(now)
--- a/internal/replica/sender.go
+++ b/internal/replica/sender.go
@@ -42,8 +42,10 @@
 	maxIdleConns              = 2
 	idleConnTimeout           = 30 * time.Second
 	minSnapshotBytesPerSecond = 512 << 10 // slowest transfer rate that snapshot timeouts allow for
-	// maxOverlappingCalls is how many calls to a member are in progress at a time, but for snapshots, if none is answered.
-	maxOverlappingCalls = 16
+	// longestCall is how long a call may take, as a multiple of the time after which newer messages overtake it.
+	longestCall = 16
+	// maxOvertakenBytes is the size of the messages that overtaken calls to a member hold; the oldest are given up beyond it.
+	maxOvertakenBytes = 2 << 20
 )
 
 func newSender(t *transport, incarnation uint64, address string) *sender {
@@ -114,7 +116,7 @@
 	done := make(chan struct{})
 	s.calls.Go(func() {
 		defer close(done)
-		if s.call(ctx, batch, maxOverlappingCalls*patience) == nil {
+		if s.call(ctx, batch, size, longestCall*s.transport.config.CallTimeout+transferTime(size, minLinkBytesPerSecond)) == nil {
 			s.transport.counters.messagesSent.Inc(int64(len(batch)))
 		}
 	})
@@ -130,6 +132,7 @@
 	case <-ctx.Done():
 	case <-timer.C:
 		s.transport.counters.callsOvertaken.Inc(1)
+		s.times.cancelOldest(maxOvertakenBytes)
 		s.httpTransport.CloseIdleConnections()
 	}
 }
@@ -139,12 +142,12 @@
 	return time.Duration(size) * time.Second / time.Duration(rate)
 }
 
-// call sends the messages in one step request.
-func (s *sender) call(ctx context.Context, batch []*apiv1.RaftMessage, timeout time.Duration) error {
+// call sends the messages, of size bytes, in one step request.
+func (s *sender) call(ctx context.Context, batch []*apiv1.RaftMessage, size int, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	identity := s.transport.store.Identity()
-	open := s.times.begin()
+	open := s.times.begin(size, cancel)
 	_, err := s.client.Step(ctx, &apiv1.StepRequest{
 		ClusterId:   identity.ClusterID,
 		Messages:    batch,
@@ -166,6 +169,7 @@
 // runSnapshots sends the queued snapshots until ctx ends or the sender is
 // stopped, and reports the results to the loop.
 func (s *sender) runSnapshots(ctx context.Context) error {
+	patience := 1 // doubled after each failure: the connection may have been dead, or the link be slow
 	for {
 		select {
 		case <-ctx.Done():
@@ -174,11 +178,13 @@
 			return nil
 		case message := <-s.snapshots:
 			begin := time.Now()
-			err := s.sendSnapshot(ctx, message)
+			err := s.sendSnapshot(ctx, message, patience)
 			s.transport.config.Logger.Info("snapshot sent", "to", s.address, "index", message.GetSnapshot().GetIndex(),
 				"bytes", len(message.GetSnapshotData()), "duration_ms", time.Since(begin).Milliseconds(), "error", err)
 			delivered := err == nil
+			patience = min(2*patience, longestCall)
 			if delivered {
+				patience = 1
 				s.transport.counters.snapshotsSent.Inc(1)
 			}
 			select {
@@ -189,8 +195,9 @@
 	}
 }
 
-// sendSnapshot adds the newest stored snapshot to the message and sends it.
-func (s *sender) sendSnapshot(ctx context.Context, message *apiv1.RaftMessage) error {
+// sendSnapshot adds the newest stored snapshot to the message and sends it. The time that it may take is that on a link
+// of the slowest rate, times patience.
+func (s *sender) sendSnapshot(ctx context.Context, message *apiv1.RaftMessage, patience int) error {
 	snapshot, err := s.transport.store.LoadSnapshot()
 	if err != nil {
 		s.transport.config.Logger.Error("could not read the snapshot to send", "error", err)
@@ -198,6 +205,7 @@
 	}
 	message.Snapshot = snapshot.Meta
 	message.SnapshotData = snapshot.Data
-	timeout := maxOverlappingCalls*s.transport.config.CallTimeout + transferTime(len(snapshot.Data), minSnapshotBytesPerSecond)
-	return s.call(ctx, []*apiv1.RaftMessage{message}, timeout)
+	timeout := time.Duration(patience) * (s.transport.config.CallTimeout + transferTime(len(snapshot.Data), minSnapshotBytesPerSecond))
+	// The size counts as none, so that no snapshot is given up for newer messages.
+	return s.call(ctx, []*apiv1.RaftMessage{message}, 0, timeout)
 }
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -87,8 +87,8 @@
 }
 
 // messageTime returns how long messages take at present to as many other voters as a majority needs, the fastest ones.
-// Those that don't answer are left out.
-func (t *transport) messageTime(voters []*apiv1.MemberInfo, now time.Time) time.Duration {
+// Those that don't answer are left out; false if none does.
+func (t *transport) messageTime(voters []*apiv1.MemberInfo, now time.Time) (time.Duration, bool) {
 	var times []time.Duration
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -101,9 +101,9 @@
 	}
 	slices.Sort(times)
 	if needed := min(len(voters)/2, len(times)); needed > 0 {
-		return times[needed-1]
+		return times[needed-1], true
 	}
-	return 0
+	return 0, false
 }
 
 // learnAddress records the address that a request gave as its sender's. It is
--- a/internal/storage/position.go
+++ b/internal/storage/position.go
@@ -14,7 +14,7 @@
 	return s.durableEnd
 }
 
-// recordDurableEnd notes that all records of the log are durable.
+// recordDurableEnd notes the end of the records that the last sync made durable. A sync mark may follow it.
 func (s *Store) recordDurableEnd() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
