--- a/test/failure/soak_cell_test.go
+++ b/test/failure/soak_cell_test.go
@@ -32,7 +32,9 @@
 // soakSize is the number of processes of a cell.
 type soakSize struct {
 	controls, entries, workers int
-	tolerated                  int // control processes that may be lost at a time
+	tolerated                  int           // control processes that may be lost at a time
+	linkDelay                  time.Duration // of the links between daemons, in each direction
+	controlShare, entryShare   float64       // of a core that each process may use; 0: any
 }
 
 const soakControlCount = 3 // of the usual cell
@@ -56,8 +58,9 @@
 	checker        *soakChecker
 	gangs          soakGangs
 	dir            string
-	tolerated      int          // control processes that may be lost at a time
-	descriptors    int          // limit of each daemon, as the platform states it; 0: none
+	tolerated      int // control processes that may be lost at a time
+	descriptors    int // limit of each daemon, as the platform states it; 0: none
+	size           soakSize
 	addressOctet   int          // second octet of the cell's loopback addresses, which depends on the seed
 	diskFaultLock  sync.Mutex   // serializes the choice of a control process whose disk is damaged
 	deadlyShare    atomic.Int64 // of the submitted jobs, in thousandths, that contain a deadly task
@@ -96,6 +99,7 @@
 	t.Helper()
 	c := &soakCell{
 		t: t, checker: newSoakChecker(), dir: soakDir(t, seed), tolerated: size.tolerated, descriptors: descriptors,
+		size:         size,
 		addressOctet: 1 + int(uint64(seed)%200),
 	}
 	for i := range size.controls {
@@ -162,6 +166,7 @@
 		advertisedIP: fmt.Sprintf("127.%d.%d.%d", c.addressOctet, kind, index+1),
 		listenIP:     fmt.Sprintf("127.%d.%d.%d", c.addressOctet, 10+kind, index+1),
 	}
+	p.share = map[string]float64{"control": c.size.controlShare, "entry": c.size.entryShare}[role]
 	port := soakFirstPort // of the internal service; an entry's is the second one
 	if role == "control" {
 		p.dataDir = filepath.Join(c.dir, name+"-data")
@@ -172,6 +177,7 @@
 	if p.link, err = relay.StartAt(context.Background(), fmt.Sprintf("%s:%d", p.advertisedIP, port), fmt.Sprintf("%s:%d", p.listenIP, port)); err != nil {
 		c.t.Fatal(err)
 	}
+	p.link.SetFault(relay.Fault{Delay: c.size.linkDelay})
 	p.settings = func(bootstrap bool) string { return c.settings(p, role, bootstrap) }
 	return p
 }
--- a/test/failure/soak_process_test.go
+++ b/test/failure/soak_process_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -35,6 +36,9 @@
 	lastFault time.Time     // last time a fault of the process began or ended; zero: never
 
 	ongoingFaults int
+
+	share                   float64      // of a core that the process may use; 0: any
+	periods, stoppedPeriods atomic.Int64 // of sharePeriod, and those in which it had used up its share
 }
 
 // directAddress returns the address of one of the process's ports, by its offset from
@@ -76,6 +80,9 @@
 	}
 	exited := make(chan struct{})
 	p.command, p.ended, p.shouldRun = command, exited, true
+	if p.share > 0 {
+		go p.limitShare(command, exited)
+	}
 	go func() {
 		err := command.Wait()
 		_ = log.Close()
