connlimit, daemon: members' calls get through beside other callers

Callers would see: no leader for longer. Entries, spares and members of the log share the listener "internal". An entry keeps up to 64 connections to each process, so 35 entries may have 2,240 where 496 fit, and without a leader all of them look for one at all processes.

Cause: the listener told connections apart by whether they were in use only. At its limit it closed the oldest connection without a request, also if the server had not read the request that had arrived; then the one idle longest, which is a member's, since votes are rarer than other calls; and refused new ones while calls waited on all. Class: what keeps the system going competes with what waits for it.

Change: an eighth of the internal connections (62 of 496) is kept for connections whose first request is a member's; they are closed for no others. The others' calls beyond the rest are refused as by a process that doesn't lead. A connection without a request is closed only after the server has waited for it for 5 ms; new ones wait meanwhile, whatever the listener.

Ruled out: the memory budget. Weighed: a listener of its own, which would change the members' addresses; telling members by their remote address, which processes of one VM share.

--- a/internal/bodybudget/header_listener.go
+++ b/internal/bodybudget/header_listener.go
@@ -46,8 +46,11 @@
 	return c, nil
 }
 
-// ConnState records a change of a connection's state.
+// ConnState records a change of the state of a connection, which may be wrapped.
 func (l *HeaderListener) ConnState(conn net.Conn, state http.ConnState) {
+	if wrapper, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = wrapper.NetConn()
+	}
 	c, ok := conn.(*headerConn)
 	if !ok {
 		return
--- a/internal/connlimit/limits.go
+++ b/internal/connlimit/limits.go
@@ -5,6 +5,8 @@
 // Limits bounds the connections of a Listener.
 type Limits struct {
 	Connections int
+	// Reserved is how many of them are kept for the connections that Reserve tells; 0: none.
+	Reserved int
 	// KeepUsed is the time after the last request of a connection during which it is not closed for a new one, which
 	// is refused instead; 0: it may be closed at any time. A connection without a request yet may be closed in any
 	// case, so that silent ones don't keep others out.
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -25,8 +25,9 @@
 // Listener bounds the open connections of an HTTP server. A connection beyond the limit
 // takes the place of the oldest one that has not sent a request yet, or else of the one
 // that has been idle longest; if there is neither, it is refused. A flood of silent
-// connections thus ends none that is in use. Set ConnState as the server's callback of the
-// same name.
+// connections thus ends none that is in use. None is ended before the server has looked
+// for its request; new ones wait meanwhile. Set ConnState as the server's callback of the
+// same name, and ConnContext as well if some connections are reserved.
 type Listener struct {
 	net.Listener
 	name   string
@@ -38,13 +39,28 @@
 	mu          sync.Mutex
 	limits      Limits
 	connections map[net.Conn]connection
-	fresh, idle *list.List // of net.Conn, oldest first: without a request yet; between requests
-	fullLogged  time.Time
+	counts      [kinds]int
+	// Of *trackedConn, oldest first: without a request yet; between requests, by kind.
+	fresh      *list.List
+	idle       [kinds]*list.List
+	freshEnded chan struct{} // receives an element when a connection has left fresh
+	fullLogged time.Time
 }
 
-// connection is the place of a connection in one of the lists, and since when; list and element are nil
-// while a request is in progress.
+// kind tells connections apart by their first request.
+type kind int
+
+const (
+	kindUnknown kind = iota
+	kindOther
+	kindReserved
+	kinds
+)
+
+// connection is the kind of a connection, its place in one of the lists, and since when; list and element are nil while
+// a request is in progress.
 type connection struct {
+	kind    kind
 	list    *list.List
 	element *list.Element
 	since   time.Time
@@ -53,22 +69,28 @@
 // NewListener returns a listener that wraps inner. The metrics are named after the kind of
 // connection.
 func NewListener(inner net.Listener, name string, limit int, logger *slog.Logger, registry metrics.Registry) *Listener {
-	return &Listener{
+	l := &Listener{
 		Listener: inner, name: name, limits: Limits{Connections: limit}, logger: logger,
 		open:        metrics.GetOrRegisterGauge("connections."+name+".open", registry),
 		evicted:     metrics.GetOrRegisterCounter("connections."+name+".evicted", registry),
 		refused:     metrics.GetOrRegisterCounter("connections."+name+".refused", registry),
-		connections: make(map[net.Conn]connection), fresh: list.New(), idle: list.New(),
+		connections: make(map[net.Conn]connection), fresh: list.New(), freshEnded: make(chan struct{}, 1),
+	}
+	for kind := range l.idle {
+		l.idle[kind] = list.New()
 	}
+	return l
 }
 
 // Accept returns the next connection that is within the limit.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
-		conn, err := l.Listener.Accept()
+		inner, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
+		conn := &trackedConn{Conn: inner}
+		l.awaitReads()
 		evicted, ok := l.admit(conn)
 		for _, other := range evicted {
 			_ = other.Close()
@@ -80,6 +102,36 @@
 	}
 }
 
+const (
+	// silence is the time that the server waits for a request before a connection counts as silent.
+	silence = 5 * time.Millisecond
+	// maxReadWait bounds the wait for the server to look for the requests of connections.
+	maxReadWait = time.Second
+)
+
+// awaitReads waits while the limit is reached and the oldest connection without a request may still have sent one.
+func (l *Listener) awaitReads() {
+	for deadline := time.Now().Add(maxReadWait); l.mayHoldRequest() && time.Now().Before(deadline); {
+		timer := time.NewTimer(silence)
+		select {
+		case <-l.freshEnded:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// mayHoldRequest reports whether the limit is reached and the server may not have seen the request of the oldest connection
+// without one.
+func (l *Listener) mayHoldRequest() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.connections) < l.limits.Connections || l.fresh.Len() == 0 {
+		return false
+	}
+	return !l.fresh.Front().Value.(*trackedConn).isSilent(time.Now())
+}
+
 // maxEvictedPerAdmission bounds the connections that are closed for a new one. More than one lets their number fall
 // after the limit was lowered.
 const maxEvictedPerAdmission = 2
@@ -96,15 +148,15 @@
 		if victim == nil {
 			break
 		}
-		l.remove(victim)
-		l.evicted.Inc(1)
+		l.evict(victim)
 		evicted = append(evicted, victim)
 	}
 	if len(l.connections) >= l.limits.Connections && len(evicted) == 0 {
 		l.refused.Inc(1)
 		return nil, false
 	}
-	l.connections[conn] = connection{l.fresh, l.fresh.PushBack(conn), now}
+	l.counts[kindUnknown]++
+	l.connections[conn] = connection{kindUnknown, l.fresh, l.fresh.PushBack(conn), now}
 	l.open.Update(int64(len(l.connections)))
 	return evicted, true
 }
@@ -114,7 +166,16 @@
 	if conn := l.oldest(l.fresh, now, 0); conn != nil {
 		return conn
 	}
-	return l.oldest(l.idle, now, l.limits.KeepUsed)
+	if conn := l.oldest(l.idle[kindUnknown], now, l.limits.KeepUsed); conn != nil {
+		return conn
+	}
+	return l.oldest(l.idle[kindOther], now, l.limits.KeepUsed)
+}
+
+// evict forgets a connection that the caller closes. The caller holds the lock.
+func (l *Listener) evict(conn net.Conn) {
+	l.remove(conn)
+	l.evicted.Inc(1)
 }
 
 // oldest returns the first connection of a list if it has been there for at least the given time. The caller holds the
@@ -135,7 +196,8 @@
 func (l *Listener) logFull() {
 	if now := time.Now(); now.Sub(l.fullLogged) >= fullLogInterval {
 		l.fullLogged = now
-		l.logger.Warn("connection limit reached", "kind", l.name, "limit", l.limits.Connections, "without_request", l.fresh.Len(), "idle", l.idle.Len(),
+		l.logger.Warn("connection limit reached", "kind", l.name, "limit", l.limits.Connections, "without_request", l.fresh.Len(),
+			"idle", l.idle[kindUnknown].Len()+l.idle[kindOther].Len(), "reserved", l.counts[kindReserved],
 			"evicted", l.evicted.Count(), "refused", l.refused.Count())
 	}
 }
@@ -144,16 +206,18 @@
 func (l *Listener) ConnState(conn net.Conn, state http.ConnState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, known := l.connections[conn]; !known {
+	place, known := l.connections[conn]
+	if !known {
 		return // evicted or hijacked before
 	}
 	switch state {
 	case http.StateActive:
 		l.unlist(conn)
-		l.connections[conn] = connection{}
+		l.connections[conn] = connection{kind: place.kind}
 	case http.StateIdle:
 		l.unlist(conn)
-		l.connections[conn] = connection{l.idle, l.idle.PushBack(conn), time.Now()}
+		idle := l.idle[place.kind]
+		l.connections[conn] = connection{place.kind, idle, idle.PushBack(conn), time.Now()}
 	case http.StateClosed, http.StateHijacked:
 		l.remove(conn)
 	}
@@ -161,14 +225,23 @@
 
 // unlist takes a connection off its list, if it is on one. The caller holds the lock.
 func (l *Listener) unlist(conn net.Conn) {
-	if place := l.connections[conn]; place.list != nil {
-		place.list.Remove(place.element)
+	place := l.connections[conn]
+	if place.list == nil {
+		return
+	}
+	place.list.Remove(place.element)
+	if place.list == l.fresh {
+		select {
+		case l.freshEnded <- struct{}{}:
+		default:
+		}
 	}
 }
 
 // remove forgets a connection. The caller holds the lock.
 func (l *Listener) remove(conn net.Conn) {
 	l.unlist(conn)
+	l.counts[l.connections[conn].kind]--
 	delete(l.connections, conn)
 	l.open.Update(int64(len(l.connections)))
 }
--- a/internal/connlimit/plan.go
+++ b/internal/connlimit/plan.go
@@ -9,6 +9,7 @@
 	Advisors                   int // idle connections to entries that call the policy service
 	Reports                    int // from workers and operators
 	Internal                   int // from entries and other control processes
+	Members                    int // of Internal: kept for the members of the replicated log
 	Callers                    int // from callers
 	Policy                     int // to the policy service
 	Probes                     int // from the platform's readiness probes
@@ -37,6 +38,12 @@
 	weightProbes        = 1
 )
 
+// A member needs one or two connections to each other one, and more while calls are slow.
+const (
+	membersDivisor = 8 // of Internal
+	minMembers     = 4
+)
+
 // minDescriptors is the smallest limit that a plan is made for.
 const minDescriptors = 2 * reservedDescriptors
 
@@ -44,9 +51,11 @@
 // descriptors open.
 func ControlPlan(descriptors int) Plan {
 	share := shares(descriptors)
+	internal := share(weightInternal)
 	return Plan{
 		Holds: share(weightHolds), Orders: share(weightOrders), IdleWorkers: share(weightIdleWorkers),
-		Advisors: share(weightAdvisors), Reports: share(weightReports), Internal: share(weightInternal),
+		Advisors: share(weightAdvisors), Reports: share(weightReports), Internal: internal,
+		Members: max(minMembers, internal/membersDivisor),
 	}
 }
 
--- a/internal/daemon/platform_control.go
+++ b/internal/daemon/platform_control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -111,11 +112,7 @@
 		return nil, err
 	}
 	role := &controlRole{replica: log, server: server}
-	mux := http.NewServeMux()
-	mux.Handle(replica.PeerPath, p.budgets.log.Handler(log.PeerHandler(), logBodyOptions()))
-	mux.Handle("/metrics", bodybudget.WithoutBody(metrics.Handler(p.registry)))
-	mux.Handle("/", p.budgets.internal.Handler(server.Handler(), internalBodyOptions(0)))
-	if role.listener, err = p.listen(p.settings.ControlBindAddress(), "internal", p.connections.Internal, mux); err != nil {
+	if role.listener, err = p.listenInternal(p.settings.ControlBindAddress(), log.PeerHandler(), server.Handler()); err != nil {
 		return nil, err
 	}
 	platformHandler := platform.ControlHandler(server, p.settings, p.budgets.platform, p.logger, p.registry)
@@ -131,6 +128,31 @@
 	return role, nil
 }
 
+// listenInternal opens the listener for the calls of the log's members, which peers serves, and those of entries and other
+// processes, which others serves.
+func (p *platformProcess) listenInternal(address string, peers, others http.Handler) (*listener, error) {
+	mux := http.NewServeMux()
+	mux.Handle(replica.PeerPath, p.budgets.log.Handler(peers, logBodyOptions()))
+	mux.Handle("/metrics", bodybudget.WithoutBody(metrics.Handler(p.registry)))
+	mux.Handle("/", p.budgets.internal.Handler(others, internalBodyOptions(0)))
+	l, err := p.listen(address, "internal", p.connections.Internal, mux)
+	if err != nil {
+		return nil, err
+	}
+	l.limited.SetLimits(connlimit.Limits{Connections: p.connections.Internal, Reserved: p.connections.Members})
+	l.server.ConnContext = l.limited.ConnContext
+	l.server.Handler = l.limited.Reserve(isMemberCall, refuseConnection, mux)
+	return l, nil
+}
+
+// isMemberCall reports whether the request is a call of a member of the replicated log.
+func isMemberCall(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, replica.PeerPath) }
+
+// refuseConnection answers a call for whose connection there is no room. It had no effect.
+func refuseConnection(w http.ResponseWriter, _ *http.Request) {
+	refuseInternalBody(w, "too many connections are open; the request was not run")
+}
+
 // openReplica opens the replica in the data folder. If the folder is damaged, its
 // files are renamed and the process starts as a new, empty member, which the leader
 // admits like one whose disk was lost. It does so by itself because there is no
