rpc: clients back off together while there is no leader

Callers would see: an election that takes longer. The users' entries, spares and clients keep calling the control processes without a leader, a spare 11 times a second at each address.

Cause: calls shared their polls for a leader, but the pause between two rounds stayed at 100 ms for ever, a round asked each process although one answer tells that there is no leader, and each new call asked at once by itself, which let it grow with the callers' calls. Class: work that an outage makes, and that holds up its end, does not fall with its length.

Change: after the first round one process is asked at a time (the next one at once if it fails), after an eighth of the time that the search has taken, from 0.1 to 0.5 s, half of it random, shared by all calls of a client. A new call asks by itself in the first second of a search only. Calls that wait return when the next poll is due, so that the longer pause isn't added to their own.

--- a/internal/rpc/call.go
+++ b/internal/rpc/call.go
@@ -83,7 +83,7 @@
 	}
 	if address == "" || !c.send(address, isPoll) {
 		c.waits++
-		c.nextAttemptAt = time.Now().Add(c.backoff())
+		c.nextAttemptAt = time.Now().Add(c.waitForPoll())
 		return
 	}
 	if isPoll {
@@ -92,11 +92,21 @@
 	c.nextAttemptAt = time.Now().Add(c.waitBeforeNext(address))
 }
 
+// waitForPoll returns a pause until a process may be asked who leads, a backoff at most. The
+// calls that wait for the same poll don't return together.
+func (c *call) waitForPoll() time.Duration {
+	pause := c.backoff()
+	if wait := c.client.directory.untilPoll(); wait > 0 {
+		pause = min(pause, wait+rand.N(c.client.options.RetryBackoff))
+	}
+	return pause
+}
+
 // addressToPoll returns the process to ask who leads, or "" if none is due now. A call's
-// first attempt doesn't wait for another call's poll while no leader is known.
+// first attempt doesn't wait for another call's poll at the begin of a search for a leader.
 func (c *call) addressToPoll() string {
 	directory := c.client.directory
-	isFirst := c.attempts == 0 && directory.candidate() == ""
+	isFirst := c.attempts == 0 && directory.candidate() == "" && directory.searchTime() < firstPollPeriod
 	if !isFirst && !directory.mayPoll() {
 		return ""
 	}
@@ -108,6 +118,9 @@
 	return ""
 }
 
+// firstPollPeriod is the length of a search after which calls only share polls.
+const firstPollPeriod = time.Second
+
 // method returns what tells the calls of one kind from others, which may be slower.
 func (c *call) method() string { return c.request.URL.Path }
 
--- a/internal/rpc/directory.go
+++ b/internal/rpc/directory.go
@@ -1,6 +1,7 @@
 package rpc
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -10,6 +11,13 @@
 // other processes may still name it as the leader.
 const suspectPeriod = time.Second
 
+// While no process knows a leader, the next one is asked after a part of the time that the
+// search has taken, up to maxSearchPause. An election takes less than a second.
+const (
+	searchPauseDivisor = 8
+	maxSearchPause     = 500 * time.Millisecond
+)
+
 // directory holds the addresses of the control processes and the presumed leader. It is
 // safe for concurrent use.
 type directory struct {
@@ -20,6 +28,7 @@
 	next          int                  // index of the address to ask next who leads
 	polls         int                  // number of times that a process was asked who leads
 	nextPoll      time.Time            // when the next one may be asked
+	searchBegin   time.Time            // when a poll first brought no leader; zero: one has answered since
 	suspectUntil  map[string]time.Time // by address: end of the suspectPeriod
 }
 
@@ -98,35 +107,77 @@
 	return !time.Now().Before(d.nextPoll)
 }
 
+// untilPoll returns the time until a process may be asked who leads.
+func (d *directory) untilPoll() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Until(d.nextPoll)
+}
+
+// searchTime returns how long the calls have looked for a leader.
+func (d *directory) searchTime() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.searchBegin.IsZero() {
+		return 0
+	}
+	return time.Since(d.searchBegin)
+}
+
 // beginPoll records that the process at the address is asked who leads. Another one is
 // asked after the interval if it doesn't respond.
 func (d *directory) beginPoll(address string, interval time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
+	if now.Sub(d.nextPoll) > maxSearchPause {
+		d.searchBegin = time.Time{} // no call has looked for a leader for a while
+	}
 	d.polls++
-	d.nextPoll = time.Now().Add(interval)
+	d.nextPoll = now.Add(interval)
 	if i := slices.Index(d.addresses, address); i >= 0 {
 		d.next = (i + 1) % len(d.addresses)
 	}
 }
 
-// endPoll records that a process has failed, or has responded and doesn't lead. If no leader
-// is known after it, the next one is asked at once within a round over the addresses.
+// endPoll records that a process has failed, or has responded and doesn't lead. The next one
+// is asked after the pause, or at once within a round over the addresses if the process has
+// failed or no round has been made yet. While none knows a leader the pause grows with the
+// length of the search.
 func (d *directory) endPoll(failed bool, pause time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
 	known := !failed && (d.currentLeader != "" || d.named != "")
-	if !known && d.polls%max(1, len(d.addresses)) != 0 {
+	if known {
+		d.nextPoll = now.Add(pause)
+		return
+	}
+	if d.searchBegin.IsZero() {
+		d.searchBegin = now
+	}
+	searched := now.Sub(d.searchBegin)
+	if d.polls%max(1, len(d.addresses)) != 0 && (failed || searched < pause) {
 		pause = 0
 	}
-	d.nextPoll = time.Now().Add(pause)
+	d.nextPoll = now.Add(searchPause(pause, searched))
+}
+
+// searchPause returns the pause between two polls after a search of the given length. A part
+// of it is random, so that clients that lost their leader together don't ask together.
+func searchPause(pause, searched time.Duration) time.Duration {
+	if pause == 0 {
+		return 0
+	}
+	longest := max(pause, min(searched/searchPauseDivisor, maxSearchPause))
+	return longest/2 + rand.N(longest/2+1)
 }
 
 // markLeader records that the process at the address served a call as the leader.
 func (d *directory) markLeader(address string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.currentLeader, d.named = address, ""
+	d.currentLeader, d.named, d.searchBegin = address, "", time.Time{}
 	delete(d.suspectUntil, address)
 }
 
--- a/internal/rpc/transports.go
+++ b/internal/rpc/transports.go
@@ -1,6 +1,7 @@
 package rpc
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"slices"
@@ -16,14 +17,14 @@
 // transports holds one connection pool (http.Transport) per address, so that the
 // connections of one address can be dropped alone. It is safe for concurrent use.
 type transports struct {
-	dialTimeout time.Duration
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu        sync.Mutex
 	byAddress map[string]*http.Transport
 }
 
 func newTransports(dialTimeout time.Duration) *transports {
-	return &transports{dialTimeout: dialTimeout, byAddress: make(map[string]*http.Transport)}
+	return &transports{dial: (&net.Dialer{Timeout: dialTimeout}).DialContext, byAddress: make(map[string]*http.Transport)}
 }
 
 // get returns the transport of an address, which it creates if needed.
@@ -41,7 +42,7 @@
 // create returns a transport without connections that no address uses.
 func (t *transports) create() *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: t.dialTimeout}).DialContext,
+		DialContext:         t.dial,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
