rpc: a process without room is not taken for the leader

Callers saw or would see: calls that fail as unclear although another process leads, and a client that goes on calling a process that does not lead, while the listener "internal" of a process is full.

Cause: a listener at its limit, and a connection whose header finds no memory, are answered 503 without a body before the call is read. The client took every answer that names no leader for the leader's: it returned it to the caller, and remembered the process as the leader.

Change: a 503 without a body is a refusal without effect that names no leader, so another process is asked. Every other refusal has a body.

Ruled out: the Retry-After header as the sign, which a budget's refusal with a body has as well.

--- a/internal/rpc/call.go
+++ b/internal/rpc/call.go
@@ -211,6 +211,9 @@
 		c.states[a.address].recordUncertain()
 	}
 	c.lastErr = errors.Newf("%s is not the leader", a.address)
+	if isUnread(a.result) {
+		c.lastErr = errors.Newf("%s has no room for more calls", a.address)
+	}
 	c.endPoll(a)
 	c.nextAttemptAt = time.Now()
 	if candidate := directory.candidate(); candidate == "" || !c.isDue(candidate) {
--- a/internal/rpc/call_effect.go
+++ b/internal/rpc/call_effect.go
@@ -54,6 +54,9 @@
 // recordRefusal records the response of a process that is not the leader, and reports whether the call
 // may have had an effect all the same.
 func (e *callEffect) recordRefusal(result bufferedResponse) bool {
+	if isUnread(result) {
+		return false
+	}
 	var refusal struct {
 		Meta map[string]string `json:"meta"`
 	}
--- a/internal/rpc/do.go
+++ b/internal/rpc/do.go
@@ -26,9 +26,18 @@
 	return newCall(c, request.WithContext(ctx), body).run()
 }
 
-// parseNotLeader reports whether a process refused the call because it is not the leader,
-// and returns the address of the leader that it names.
+// isUnread reports whether a process refused the connection or the request's header for lack
+// of room: without a body, which all other refusals have. It has not read the call.
+func isUnread(result bufferedResponse) bool {
+	return result.response.StatusCode == http.StatusServiceUnavailable && len(result.body) == 0
+}
+
+// parseNotLeader reports whether a process refused the call because it is not the leader, or
+// without having read it, and returns the address of the leader that it names.
 func parseNotLeader(result bufferedResponse) (leader string, refused bool) {
+	if isUnread(result) {
+		return "", true
+	}
 	if result.response.StatusCode != http.StatusServiceUnavailable {
 		return "", false
 	}
