control: the steps of a repair don't wait for the audit trail

Cause: the audit record of each step was committed before the next step, also between the removal of a lost voter and the promotion of its successor, when there are four voters. Without that wait the promotion comes before the learner has the entry of the removal (ErrNotCaughtUp), and was tried again only with the next check, 200 ms later. Change: records are written in the background, in order. A promotion that the learner isn't ready for is tried again every 20 ms, and what a repair waits for is logged once a second. Evidence: TestRepairDoesNotWaitForTheAuditTrail failed before (30 s without a second step).

--- a/internal/control/repair_driver.go
+++ b/internal/control/repair_driver.go
@@ -16,10 +16,11 @@
 )
 
 const (
-	defaultRepairInterval = 200 * time.Millisecond // a replacement takes several checks, one for each step
-	repairLogInterval     = time.Second            // between two log lines about what a repair waits for
-	memberChangeTimeout   = 10 * time.Second
-	maxLearnerLag         = 500 // entries that a learner may be behind the commit index to be promoted; less than the log's own limit
+	defaultRepairInterval  = 200 * time.Millisecond // a replacement takes several checks, one for each step
+	repairLogInterval      = time.Second            // between two log lines about what a repair waits for
+	promotionRetryInterval = 20 * time.Millisecond  // while the learner lacks the entry that removed its predecessor
+	memberChangeTimeout    = 10 * time.Second
+	maxLearnerLag          = 500 // entries that a learner may be behind the commit index to be promoted; less than the log's own limit
 )
 
 // repairMembership periodically checks the membership and replaces lost voters, one
@@ -27,7 +28,7 @@
 // which processes don't identify themselves. The interval between two checks includes the
 // time that a check takes, or else processes that don't answer would double it.
 func (l *leadership) repairMembership(ctx context.Context) error {
-	checks := &membershipChecks{leadership: l}
+	checks := &membershipChecks{leadership: l, audit: repairAudit{leadership: l}}
 	ticker := time.NewTicker(l.server.RepairInterval)
 	defer ticker.Stop()
 	for {
@@ -37,7 +38,7 @@
 		case <-ticker.C:
 		}
 		// After a removal, the next loss may leave no majority until the vacancy is filled.
-		for checks.next(ctx) == repair.RemoveMember {
+		for checks.next(ctx) == repair.RemoveMember || checks.promotionWaits && sleep(ctx, promotionRetryInterval) {
 		}
 	}
 }
@@ -46,11 +47,15 @@
 type membershipChecks struct {
 	*leadership
 	probes identityProbes
+	audit  repairAudit
 	logged time.Time // when a check last logged what the repair waits for
+
+	promotionWaits bool // the last check found a vacancy and a learner that can't be promoted yet
 }
 
 // next checks the membership once, and returns the kind of the change that it made.
 func (c *membershipChecks) next(ctx context.Context) repair.Kind {
+	c.promotionWaits = false
 	status := c.server.Log.Status()
 	if !c.server.needsRepair(status) {
 		c.probes.reset()
@@ -65,13 +70,18 @@
 		return repair.None
 	}
 	if action.Kind != repair.None {
-		return c.server.changeMembership(ctx, action, view)
+		return c.changeMembership(ctx, action, view)
 	}
+	c.logWait(view, nil)
+	return repair.None
+}
+
+// logWait logs what the repair waits for, once in each repairLogInterval.
+func (c *membershipChecks) logWait(view repair.View, err error) {
 	if time.Since(c.logged) >= repairLogInterval {
 		c.logged = time.Now()
-		c.server.logRepairWait(view, nil)
+		c.server.logRepairWait(view, err)
 	}
-	return repair.None
 }
 
 // logRepairWait logs what a repair waits for: the voters without recent contact, the
@@ -218,13 +228,15 @@
 // changeMembership performs one step and records it in the audit trail. It returns the
 // kind of the change if it was made. A change that is not possible yet is tried again with
 // the next check.
-func (s *Server) changeMembership(ctx context.Context, action repair.Action, view repair.View) repair.Kind {
+func (c *membershipChecks) changeMembership(ctx context.Context, action repair.Action, view repair.View) repair.Kind {
+	s := c.server
 	ctx, cancel := context.WithTimeout(ctx, memberChangeTimeout)
 	defer cancel()
 	member := action.Member
 	err := s.applyMembershipChange(ctx, action)
 	if errors.IsAny(err, replica.ErrChangeInProgress, replica.ErrNotCaughtUp, replica.ErrNotLeader) {
-		s.logRepairWait(view, err)
+		c.promotionWaits = action.Kind == repair.PromoteLearner && errors.Is(err, replica.ErrNotCaughtUp)
+		c.logWait(view, err)
 		return repair.None
 	}
 	made, outcome, detail := action.Kind, state.OutcomeApplied, action.Reason
@@ -234,16 +246,13 @@
 	s.Logger.Info("membership change attempted", "change", action.Kind.String(), "member", member.GetName(),
 		"incarnation", member.GetIncarnation(), "outcome", outcome, "detail", detail)
 	counter(s.Metrics, "control.repair."+action.Kind.String()).Inc(1)
-	err = s.recordAudit(ctx, &apiv1.AuditRecord{
+	c.audit.record(&apiv1.AuditRecord{
 		Actor:   s.Name,
 		Action:  auditActions[action.Kind],
 		Object:  member.GetName(),
 		Outcome: outcome,
 		Detail:  detail,
 	})
-	if err != nil {
-		s.Logger.Warn("audit record of a membership change not written", "error", err)
-	}
 	return made
 }
 
--- a/internal/control/repair_driver_test.go
+++ b/internal/control/repair_driver_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -92,6 +93,40 @@
 	is.Equal(busy.calls.Load(), int64(0))
 }
 
+// The audit record of each step was committed before the next step began, also while the vacancy that a removal leaves was
+// open.
+func TestRepairDoesNotWaitForTheAuditTrail(t *testing.T) {
+	is := is.New(t)
+	const old, replacement = 3, 9
+	addresses := map[string]string{
+		"control-1": startPeer(t, "control-1", 1),
+		"control-2": startPeer(t, "control-2", 2),
+		"control-3": startPeer(t, "control-3", replacement),
+	}
+	r := newRig(t, func(config *control.Config) {
+		config.RepairPolicy = repair.Policy{UnreachableAfter: 30 * time.Second, DeadAfter: time.Minute}
+		config.RepairInterval = time.Millisecond
+	})
+	loseDisk(r, addresses, old, replacement)
+	committed := make(chan struct{})
+	commit := sync.OnceFunc(func() { close(committed) })
+	t.Cleanup(commit)
+	r.log.setOnApply(func(command *apiv1.Command) {
+		if command.GetAudit() != nil {
+			<-committed
+		}
+	})
+	r.becomeLeader()
+	r.eventually("the voter is replaced", func() bool { return len(r.log.membershipChanges()) == 3 })
+	commit()
+	r.eventually("the changes are in the audit trail", func() bool {
+		return len(r.store.AuditRecords(0, "control-3", 0)) == 3
+	})
+	for i, action := range []string{state.ActionMemberAdd, state.ActionMemberRemove, state.ActionMemberPromote} {
+		is.Equal(r.store.AuditRecords(0, "control-3", 0)[i].GetAction(), action)
+	}
+}
+
 // busyPeer doesn't answer before its caller has given up.
 type busyPeer struct {
 	apiv1.Peer
