control: checks don't wait for processes that have identified themselves

Cause: each check of the membership waited for a new response, up to 300 ms, although the one to the check before was known; so each step of a repair took as long as a call more. And a call that timed out at the moment the next one began was not counted: checks come every 200 ms and calls end after 1 s, so that was usual, and a process that had gone kept its identity. Change: a process with an identity is called with each check and not waited for; the begin of a call ends the last one. Evidence: TestChecksDoNotWaitForAProcessThatHasIdentifiedItself (150 ms before) and TestIdentityOfAProcessThatIsGoneEndsWithItsCall failed before.

--- a/internal/control/identity_probes.go
+++ b/internal/control/identity_probes.go
@@ -15,8 +15,9 @@
 const identityWait = 300 * time.Millisecond
 
 // identityProbes identifies the processes that a check of the membership asks about. A
-// process whose latest call was not answered in time is called again with each check,
-// but not waited for, so that the steps of a repair are not delayed by a VM that is gone.
+// process whose latest call was answered, or not answered in time, is called again with
+// each check, but not waited for, so that the steps of a repair are delayed neither by a
+// VM that is gone nor by the time that calls take.
 // The zero value is ready for use. It is safe for concurrent use.
 type identityProbes struct {
 	mu        sync.Mutex
@@ -75,6 +76,9 @@
 	if time.Since(probe.calledAt) < identifyTimeout {
 		return nil
 	}
+	if !probe.calledAt.IsZero() { // the last call ends at this moment
+		probe.identity = nil
+	}
 	calledAt, done := time.Now(), make(chan struct{})
 	probe.calledAt = calledAt
 	go func() {
@@ -90,7 +94,7 @@
 			probe.identity = identity
 		}
 	}()
-	if probe.silent {
+	if probe.silent || probe.identity != nil {
 		return nil
 	}
 	return done
--- a/internal/control/identity_probes_test.go
+++ b/internal/control/identity_probes_test.go
@@ -68,3 +68,63 @@
 		is.Equal(gone.GetName(), "gone")
 	})
 }
+
+// A process that takes long to respond delayed each step of a repair by that time, although the response to the check
+// before was known.
+func TestChecksDoNotWaitForAProcessThatHasIdentifiedItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const callTime = identityWait / 2
+		processes := &identifyingProcesses{}
+		clients := &peerClients{client: &http.Client{Transport: &slowTransport{callTime, processes}}}
+		probes := &identityProbes{}
+		identify := func(name string) (*apiv1.IdentifyResponse, time.Duration) {
+			begin := time.Now()
+			peers := []repair.Peer{{Name: name, Address: name}}
+			probes.identify(t.Context(), clients, peers)
+			return peers[0].Identity, time.Since(begin)
+		}
+		identity, took := identify("spare")
+		is.Equal(identity.GetName(), "spare")
+		is.Equal(took, callTime)
+		for range 3 {
+			identity, took = identify("spare")
+			is.Equal(identity.GetName(), "spare")
+			is.Equal(took, time.Duration(0))
+		}
+		time.Sleep(callTime)
+	})
+}
+
+// The end of a call that came with the begin of the next one was not counted, and the process kept its identity.
+func TestIdentityOfAProcessThatIsGoneEndsWithItsCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		processes := &identifyingProcesses{}
+		processes.back.Store(true)
+		clients := &peerClients{client: &http.Client{Transport: processes}}
+		probes := &identityProbes{}
+		identify := func() *apiv1.IdentifyResponse {
+			peers := []repair.Peer{{Name: "gone", Address: "gone"}}
+			probes.identify(t.Context(), clients, peers)
+			return peers[0].Identity
+		}
+		is.Equal(identify().GetName(), "gone")
+		processes.back.Store(false)
+		_ = identify()
+		time.Sleep(identifyTimeout)
+		is.Equal(identify(), nil)
+		time.Sleep(identifyTimeout)
+	})
+}
+
+// slowTransport delivers each call after the delay.
+type slowTransport struct {
+	delay time.Duration
+	next  http.RoundTripper
+}
+
+func (s *slowTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	time.Sleep(s.delay)
+	return s.next.RoundTrip(request)
+}
