raft: change several voters in one entry

A membership change of one voter at a time makes the replacement of two lost voters take four commits, 2.3 s where calls take 200 ms, and leaves four voters, all but one of which are needed, between two of them.

ChangeMembership takes several changes. While an entry that changes more than one voter is not known to be committed, elections, commits, reads and the leader's own check need a majority of the voters before it and one of those after it. Only the commit of that entry ends this, so no second entry is needed: whoever needs the old majority only or both can't win without a member that has the entry, and whoever needs the new majority only knows that it is committed by both. The log format is the same: the voters before are those of the preceding membership in the log. Entries of one changed voter count as before.

- The leader tells of the commit at once, because a member that does not know it needs the old voters.
- A member that has left still votes if asked: it may be the only one left that knows of the commit.
- A leader does not leave together with another voter.

TestSchedules draws several changes in half of its entries; a lost disk must leave the old majority too while it counts.

--- a/internal/control/fake_log_test.go
+++ b/internal/control/fake_log_test.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/raft"
 	"github.com/pistachioport/pistachioport/internal/replica"
 )
 
@@ -247,3 +248,21 @@
 	})
 	return nil
 }
+
+func (f *fakeLog) ChangeMembership(ctx context.Context, changes ...raft.Change) error {
+	for _, change := range changes {
+		var err error
+		switch change.Kind {
+		case raft.AddLearner:
+			err = f.AddLearner(ctx, change.Member)
+		case raft.PromoteLearner:
+			err = f.PromoteLearner(ctx, change.Member.GetIncarnation())
+		case raft.RemoveMember:
+			err = f.RemoveMember(ctx, change.Member.GetIncarnation())
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/raft/change.go
+++ b/internal/raft/change.go
@@ -17,9 +17,9 @@
 	RemoveMember              // a voter or learner leaves
 )
 
-// Change adds, promotes or removes a single member. Changes of one member at a
-// time ensure that any majority before the change and any majority after it have
-// a member in common.
+// Change adds, promotes or removes a single member. Any majority of the voters before
+// one change and any majority after it have a member in common; for several changes in
+// one entry see ChangeMembership.
 type Change struct {
 	Kind   ChangeKind
 	Member *apiv1.MemberInfo // only AddLearner uses fields other than the incarnation
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -10,13 +10,11 @@
 	return isVoter(c.Membership(), c.id) || isVoter(c.committedMembership(), c.id)
 }
 
-// mayVote reports whether the member may grant votes. A learner may, because the
-// candidate's log can contain the learner's promotion before its own log does;
-// only candidates whose membership lists it as a voter count its vote. A member
-// that is in neither its latest nor its committed membership may not.
-func (c *Core) mayVote() bool {
-	return isMember(c.Membership(), c.id) || isMember(c.committedMembership(), c.id)
-}
+// mayVote reports whether the member may grant votes: it has the log of a cluster. Only
+// candidates whose electorate lists it count its vote. The candidate's log can contain a
+// learner's promotion before the learner's own does, and a candidate that does not know
+// that the removal of voters is committed needs the votes of those that know.
+func (c *Core) mayVote() bool { return len(c.Membership().GetVoters()) > 0 }
 
 func (c *Core) committedMembership() *apiv1.Membership {
 	return c.members.at(c.log.committed)
@@ -71,7 +69,7 @@
 
 // requestVotes sends a vote or pre-vote request to all other voters.
 func (c *Core) requestVotes(kind apiv1.RaftMessage_Type, term uint64, transfer bool) {
-	for _, voter := range c.Membership().GetVoters() {
+	for _, voter := range c.electorate().voters() {
 		if voter.GetIncarnation() == c.id {
 			continue
 		}
@@ -93,22 +91,17 @@
 	if _, ok := c.votes[from]; !ok {
 		c.votes[from] = granted
 	}
-	membership := c.Membership()
-	grants, refusals := 0, 0
-	for _, voter := range membership.GetVoters() {
-		vote, ok := c.votes[voter.GetIncarnation()]
-		if ok && vote {
-			grants++
-		} else if ok {
-			refusals++
-		}
-	}
+	voters := c.electorate()
+	won := voters.hasMajority(func(id uint64) bool { return c.votes[id] })
 	switch {
-	case grants >= quorum(membership) && c.role == PreCandidate:
+	case won && c.role == PreCandidate:
 		c.campaign(false)
-	case grants >= quorum(membership):
+	case won:
 		c.becomeLeader()
-	case refusals > len(membership.GetVoters())-quorum(membership):
+	case voters.isBlocked(func(id uint64) bool {
+		vote, ok := c.votes[id]
+		return ok && !vote
+	}):
 		c.becomeFollower(c.term, 0)
 	}
 }
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -19,18 +19,20 @@
 }
 
 // updateProgressMembers adds and removes progress so that each member of the
-// latest membership has one. The leader's own stays even after it has removed
+// latest membership has one, and each voter whose removal is not committed but needs a
+// majority of the previous voters. The leader's own stays even after it has removed
 // itself. A leadership transfer to a member that no longer votes is aborted.
 func (c *Core) updateProgressMembers() {
-	membership := c.Membership()
-	for _, members := range [][]*apiv1.MemberInfo{membership.GetVoters(), membership.GetLearners()} {
+	membership, departing := c.Membership(), c.electorate().departing()
+	for _, members := range [][]*apiv1.MemberInfo{membership.GetVoters(), membership.GetLearners(), departing} {
 		for _, member := range members {
 			c.addProgress(member.GetIncarnation())
 		}
 	}
 	c.addProgress(c.id)
 	for id := range c.progress {
-		if id != c.id && !isMember(membership, id) {
+		isDeparting := slices.ContainsFunc(departing, func(m *apiv1.MemberInfo) bool { return m.GetIncarnation() == id })
+		if id != c.id && !isMember(membership, id) && !isDeparting {
 			delete(c.progress, id)
 		}
 	}
@@ -80,23 +82,31 @@
 	if index <= c.log.committed || !c.log.matches(index, c.term) {
 		return
 	}
+	wasJoint := c.electorate().previous != nil
 	c.log.commitTo(index)
 	c.beginPostponedReads()
 	if !isVoter(c.Membership(), c.id) && c.members.latest().index <= c.log.committed {
 		c.stepDownAfterRemoval()
+		return
+	}
+	if wasJoint && c.electorate().previous == nil {
+		c.leaveJointMembership()
 	}
 }
 
 // majorityMatch returns the highest index up to which a majority of the voters
 // matches the leader's log.
 func (c *Core) majorityMatch() uint64 {
-	membership := c.Membership()
-	matches := make([]uint64, 0, len(membership.GetVoters()))
-	for _, voter := range membership.GetVoters() {
-		matches = append(matches, c.progress[voter.GetIncarnation()].match)
-	}
-	slices.Sort(matches)
-	return matches[len(matches)-quorum(membership)]
+	return c.electorate().majorityValue(func(id uint64) uint64 { return c.progress[id].match })
+}
+
+// leaveJointMembership forgets the voters that left once a membership that changes several
+// is committed. The others learn of the commit at once: until then, a candidate among them
+// needs the votes of those that left.
+func (c *Core) leaveJointMembership() {
+	c.updateProgressMembers()
+	c.broadcastHeartbeat()
+	c.maybeCommit()
 }
 
 // stepDownAfterRemoval ends the leadership of a leader whose own removal is
@@ -161,7 +171,7 @@
 		p.inflights.freeTo(p.match)
 	}
 	c.maybeCommit()
-	if c.role != Leader {
+	if c.progress[id] == nil { // the member has left, or the leadership has ended
 		return
 	}
 	c.sendPendingAppends(id)
@@ -197,7 +207,7 @@
 	// committed is on its disk and matches.
 	if p.state == snapshotting && p.acknowledge(m.GetCommit()) {
 		c.continueReplication(m.GetFrom(), p)
-		if c.role != Leader {
+		if c.progress[m.GetFrom()] == nil {
 			return
 		}
 	}
--- a/internal/raft/propose.go
+++ b/internal/raft/propose.go
@@ -34,35 +34,46 @@
 	return nil
 }
 
-// ChangeMembership appends a membership change and returns its index, or 0 if
-// the change is already in effect and committed. The change takes effect as soon
-// as it is appended.
+// ChangeMembership appends an entry with all of the given changes and returns its
+// index, or 0 if they are already in effect and committed. The changes take effect as
+// soon as they are appended. If they change more than one voter, a majority of the
+// voters before is needed as well until they are committed.
 //
 // Errors: ErrNotLeader; ErrTransferInProgress; ErrChangeInProgress until the
 // previous change and an entry of the current term are committed;
 // ErrNotCaughtUp if the learner to promote does not respond or lags too far
 // behind; ErrInvalidChange, also if fewer than a majority of the voters after the
-// change responded within the election timeout.
-func (c *Core) ChangeMembership(change Change) (uint64, error) {
+// change responded within the election timeout, or if the leader would leave together
+// with another change of a voter.
+func (c *Core) ChangeMembership(changes ...Change) (uint64, error) {
 	if err := c.mayPropose(); err != nil {
 		return 0, err
 	}
 	if !c.hasCommittedInTerm() || c.members.latest().index > c.log.committed {
 		return 0, ErrChangeInProgress
 	}
-	if change.isInEffect(c.Membership()) {
-		return 0, nil
+	membership := c.Membership()
+	for _, change := range changes {
+		if change.isInEffect(membership) {
+			continue
+		}
+		var err error
+		if membership, err = change.apply(membership); err != nil {
+			return 0, err
+		}
+		if change.Kind == PromoteLearner && !c.isCaughtUp(change.Member.GetIncarnation()) {
+			return 0, ErrNotCaughtUp
+		}
 	}
-	membership, err := change.apply(c.Membership())
-	if err != nil {
-		return 0, err
+	if membership == c.Membership() {
+		return 0, nil
 	}
-	if change.Kind == PromoteLearner && !c.isCaughtUp(change.Member.GetIncarnation()) {
-		return 0, ErrNotCaughtUp
+	if changedVoters(c.Membership(), membership) > 1 && !isVoter(membership, c.id) {
+		return 0, errors.Wrap(ErrInvalidChange, "a leader only leaves in an entry of its own")
 	}
-	if c.countActiveVoters(membership) < quorum(membership) {
+	if active := countVoters(membership, c.isActive); active < quorum(membership) {
 		return 0, errors.Wrapf(ErrInvalidChange, "of the %d voters after the change only %d answer",
-			len(membership.GetVoters()), c.countActiveVoters(membership))
+			len(membership.GetVoters()), active)
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(membership)
 	if err != nil {
@@ -79,7 +90,7 @@
 // log grants no votes.
 func (c *Core) isCaughtUp(id uint64) bool {
 	p := c.progress[id]
-	return p.state == replicating &&
+	return p != nil && p.state == replicating &&
 		p.ticksSinceResponse < c.options.ElectionTicks &&
 		p.match >= c.members.latest().index &&
 		p.match+c.options.MaxLearnerLag >= c.log.committed
--- a/internal/raft/read.go
+++ b/internal/raft/read.go
@@ -1,7 +1,5 @@
 package raft
 
-import "slices"
-
 // ReadIndex starts a read-index round; round is an identifier of the caller's
 // choice. The round is returned in Ready.ReadStates once an entry of the current
 // term is committed and a majority has confirmed, after this call, that the
@@ -43,17 +41,11 @@
 	if len(c.reads.inFlight) == 0 {
 		return
 	}
-	membership := c.Membership()
-	var sequences []uint64
-	for _, voter := range membership.GetVoters() {
-		id := voter.GetIncarnation()
-		sequence := c.progress[id].answeredReadSequence
+	sequence := c.electorate().majorityValue(func(id uint64) uint64 {
 		if id == c.id {
-			sequence = c.reads.lastSequence
+			return c.reads.lastSequence
 		}
-		sequences = append(sequences, sequence)
-	}
-	slices.Sort(sequences)
-	sequence := sequences[len(sequences)-quorum(membership)]
+		return c.progress[id].answeredReadSequence
+	})
 	c.readStates = append(c.readStates, c.reads.confirm(sequence)...)
 }
--- a/internal/raft/replicate.go
+++ b/internal/raft/replicate.go
@@ -10,10 +10,10 @@
 	c.forEachPeer(c.sendPendingAppends)
 }
 
-// forEachPeer calls visit for every other voter and learner.
+// forEachPeer calls visit for every other voter and learner, and the voters that are about to leave.
 func (c *Core) forEachPeer(visit func(id uint64)) {
 	membership := c.Membership()
-	for _, members := range [][]*apiv1.MemberInfo{membership.GetVoters(), membership.GetLearners()} {
+	for _, members := range [][]*apiv1.MemberInfo{membership.GetVoters(), membership.GetLearners(), c.electorate().departing()} {
 		for _, member := range members {
 			if member.GetIncarnation() != c.id {
 				visit(member.GetIncarnation())
--- a/internal/raft/schedule_test.go
+++ b/internal/raft/schedule_test.go
@@ -166,7 +166,8 @@
 		}
 	}
 	return !slices.ContainsFunc(s.members, func(m *member) bool {
-		return !s.hasMajority(m.core.Membership(), id)
+		needed := m.core.electorate()
+		return !s.hasMajority(needed.latest, id) || needed.previous != nil && !s.hasMajority(needed.previous, id)
 	})
 }
 
@@ -182,7 +183,7 @@
 	return len(membership.GetVoters()) == 0 || alive >= quorum(membership)
 }
 
-// change proposes a random membership change at a leader: it adds, promotes or
+// change proposes random membership changes in one entry at a leader: each adds, promotes or
 // removes a random incarnation. Changes that leave fewer than two voters, or no
 // majority of voters with a disk, are skipped.
 func (s *schedule) change() {
@@ -190,19 +191,45 @@
 	if m == nil {
 		return
 	}
-	subject := &apiv1.MemberInfo{Incarnation: uint64(s.pick(int(s.nextID))) + 1, Address: "address"}
-	change := Change{Kind: ChangeKind(s.pick(3)), Member: subject}
-	if change.Kind == AddLearner && s.find(subject.GetIncarnation()) == nil {
-		return
+	var changes []Change
+	after := m.core.Membership()
+	for _, change := range s.drawChanges(after) {
+		subject := change.Member
+		changed, err := change.apply(after)
+		if err != nil || change.isInEffect(after) || change.Kind == AddLearner && s.find(subject.GetIncarnation()) == nil {
+			continue
+		}
+		changes, after = append(changes, change), changed
 	}
-	after, err := change.apply(m.core.Membership())
-	if err != nil || !s.hasMajority(after, 0) || len(after.GetVoters()) < 2 {
+	if len(changes) == 0 || !s.hasMajority(after, 0) || len(after.GetVoters()) < 2 {
 		return
 	}
-	_, _ = m.core.ChangeMembership(change)
+	_, _ = m.core.ChangeMembership(changes...)
 	s.process(m, s.pick(8) == 0)
 }
 
+// drawChanges draws one change, or several of the same entry: the replacement of voters by the learners, or any.
+func (s *schedule) drawChanges(membership *apiv1.Membership) []Change {
+	drawn := func() *apiv1.MemberInfo {
+		return &apiv1.MemberInfo{Incarnation: uint64(s.pick(int(s.nextID))) + 1, Address: "address"}
+	}
+	var changes []Change
+	switch s.pick(4) {
+	case 0:
+		for range s.pick(maxChangesPerEntry) + 1 {
+			changes = append(changes, Change{Kind: ChangeKind(s.pick(3)), Member: drawn()})
+		}
+	case 1:
+		for _, learner := range membership.GetLearners() {
+			voter := membership.GetVoters()[s.pick(len(membership.GetVoters()))]
+			changes = append(changes, Change{Kind: PromoteLearner, Member: learner}, Change{Kind: RemoveMember, Member: voter})
+		}
+	default:
+		changes = append(changes, Change{Kind: ChangeKind(s.pick(3)), Member: drawn()})
+	}
+	return changes
+}
+
 // partition splits the members at random into two sides; messages between the
 // sides are lost.
 func (s *schedule) partition() {
@@ -267,7 +294,10 @@
 	return table
 }
 
-const scheduleSteps = 700
+const (
+	scheduleSteps      = 700
+	maxChangesPerEntry = 4
+)
 
 // TestSchedules checks election safety, log matching, leader completeness,
 // state machine safety and linearizability of read-index rounds under random
--- a/internal/raft/tick.go
+++ b/internal/raft/tick.go
@@ -1,7 +1,5 @@
 package raft
 
-import apiv1 "github.com/pistachioport/pistachioport/api/v1"
-
 // Tick advances the timers by one tick.
 func (c *Core) Tick() {
 	if c.role == Leader {
@@ -60,18 +58,11 @@
 // election timeout. A leader without one steps down, as it may be partitioned
 // from the others.
 func (c *Core) hasActiveQuorum() bool {
-	membership := c.Membership()
-	return c.countActiveVoters(membership) >= quorum(membership)
+	return c.electorate().hasMajority(c.isActive)
 }
 
-// countActiveVoters returns how many voters of the membership responded within
-// the election timeout.
-func (c *Core) countActiveVoters(membership *apiv1.Membership) int {
-	active := 0
-	for _, voter := range membership.GetVoters() {
-		if c.progress[voter.GetIncarnation()].ticksSinceResponse < c.stretch(c.shortestElectionTicks()) {
-			active++
-		}
-	}
-	return active
+// isActive reports whether the member responded within the election timeout.
+func (c *Core) isActive(id uint64) bool {
+	p := c.progress[id]
+	return p != nil && p.ticksSinceResponse < c.stretch(c.shortestElectionTicks())
 }
--- a/internal/replica/log.go
+++ b/internal/replica/log.go
@@ -4,6 +4,7 @@
 	"context"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/raft"
 )
 
 // Log is the interface of the replicated log that the control process uses.
@@ -43,6 +44,10 @@
 	PromoteLearner(ctx context.Context, incarnation uint64) error
 	RemoveMember(ctx context.Context, incarnation uint64) error
 
+	// ChangeMembership makes all of the changes in one log entry and returns once it
+	// is committed and applied. Errors: as those of the single changes.
+	ChangeMembership(ctx context.Context, changes ...raft.Change) error
+
 	// TransferLeadership transfers leadership to the most up-to-date voter.
 	// Error: ErrNotLeader.
 	TransferLeadership(ctx context.Context) error
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -27,26 +27,26 @@
 // AddLearner adds a member that receives the log but is not counted in quorums.
 // It has no effect if the incarnation is a member already.
 func (r *Replica) AddLearner(ctx context.Context, member *apiv1.MemberInfo) error {
-	return r.change(ctx, raft.Change{Kind: raft.AddLearner, Member: member})
+	return r.ChangeMembership(ctx, raft.Change{Kind: raft.AddLearner, Member: member})
 }
 
 // PromoteLearner makes a learner a voter. It has no effect if the incarnation is
 // a voter already.
 func (r *Replica) PromoteLearner(ctx context.Context, incarnation uint64) error {
-	return r.change(ctx, raft.Change{Kind: raft.PromoteLearner, Member: &apiv1.MemberInfo{Incarnation: incarnation}})
+	return r.ChangeMembership(ctx, raft.Change{Kind: raft.PromoteLearner, Member: &apiv1.MemberInfo{Incarnation: incarnation}})
 }
 
 // RemoveMember removes a voter or learner from the membership. It has no effect
 // if the incarnation is not a member.
 func (r *Replica) RemoveMember(ctx context.Context, incarnation uint64) error {
-	return r.change(ctx, raft.Change{Kind: raft.RemoveMember, Member: &apiv1.MemberInfo{Incarnation: incarnation}})
+	return r.ChangeMembership(ctx, raft.Change{Kind: raft.RemoveMember, Member: &apiv1.MemberInfo{Incarnation: incarnation}})
 }
 
-// change proposes a membership change and waits until it is applied.
-func (r *Replica) change(ctx context.Context, change raft.Change) error {
+// ChangeMembership proposes the changes in one entry and waits until it is applied.
+func (r *Replica) ChangeMembership(ctx context.Context, changes ...raft.Change) error {
 	p := newProposal(nil)
 	err := r.runOnLoop(ctx, func() error {
-		index, err := r.core.ChangeMembership(change)
+		index, err := r.core.ChangeMembership(changes...)
 		if err != nil {
 			return err
 		}
--- a/internal/replica/publish.go
+++ b/internal/replica/publish.go
@@ -58,7 +58,7 @@
 	}
 	r.mu.Unlock()
 	if earlier.Membership != membership {
-		r.transport.updateMembership(membership)
+		r.transport.updateMembership(membership, r.core.DepartingVoters())
 	}
 }
 
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -122,10 +122,15 @@
 
 // updateMembership replaces the addresses by those of a changed membership and
 // stops the senders to incarnations that are not in it or have another address.
-func (t *transport) updateMembership(membership *apiv1.Membership) {
+//
+// The departing voters are in another membership that still counts.
+func (t *transport) updateMembership(membership *apiv1.Membership, departing []*apiv1.MemberInfo) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.members = memberAddresses(membership)
+	for _, member := range departing {
+		t.members[member.GetIncarnation()] = member.GetAddress()
+	}
 	for incarnation, s := range t.senders {
 		if t.members[incarnation] != s.address {
 			close(s.stop)
