raft: members remember that a replacement of several voters is committed

Callers would see: no leader for good, if a replacement of two voters was followed, without another write, by a loss of power and the loss of two more disks.

Cause: a member that doesn't know that an entry with several changes is committed needs the voters before it as well. The commit index is stored with the next synced write only, so a loss of power took that knowledge from members that had it.

Change: the commit index is synced once it makes the previous voters unnecessary. That is one sync for each such entry and member.

--- a/internal/raft/electorate.go
+++ b/internal/raft/electorate.go
@@ -14,12 +14,15 @@
 	previous *apiv1.Membership // nil: a majority of the latest voters is enough
 }
 
-// electorate returns the electorate that the member's log and commit index define. A membership that follows another one
-// shows that the earlier one is committed, so at most the last two count.
-func (c *Core) electorate() electorate {
+// electorate returns the electorate that the member's log and commit index define.
+func (c *Core) electorate() electorate { return c.electorateAt(c.log.committed) }
+
+// electorateAt returns the electorate for another commit index. A membership that follows another one shows that the earlier
+// one is committed, so at most the last two count.
+func (c *Core) electorateAt(commit uint64) electorate {
 	versions := c.members.versions
 	latest := versions[len(versions)-1]
-	if len(versions) < 2 || latest.index <= c.log.committed {
+	if len(versions) < 2 || latest.index <= commit {
 		return electorate{latest: latest.membership}
 	}
 	previous := versions[len(versions)-2].membership
@@ -29,6 +32,12 @@
 	return electorate{latest.membership, previous}
 }
 
+// mustStoreCommit reports whether the member would need the previous voters again after a restart, because the commit index
+// on its disk is too old.
+func (c *Core) mustStoreCommit() bool {
+	return c.electorate().previous == nil && c.electorateAt(c.persisted.Commit).previous != nil
+}
+
 // changedVoters returns how many incarnations are voters in one membership and not in the other.
 func changedVoters(a, b *apiv1.Membership) int {
 	common := 0
--- a/internal/raft/hardstate.go
+++ b/internal/raft/hardstate.go
@@ -10,7 +10,7 @@
 
 // needsSync reports whether the state differs from earlier such that it must be
 // on disk before any message that depends on it is sent. A changed commit index
-// need not be, since a member can learn it again from the leader.
+// need not be, since a member can learn it again from the leader, unless an election needs it (see Core.mustStoreCommit).
 func (h HardState) needsSync(earlier HardState) bool {
 	return h.Term != earlier.Term || h.Vote != earlier.Vote
 }
--- a/internal/raft/joint_test.go
+++ b/internal/raft/joint_test.go
@@ -97,3 +97,27 @@
 	_, err := leader.core.ChangeMembership(removal(leader), removal(sim.members[4]))
 	is.True(errors.Is(err, ErrInvalidChange))
 }
+
+// The members forgot with the loss of power that the replacement of two voters was committed, and needed the votes of those
+// that had been replaced.
+func TestCommitOfAReplacementSurvivesALossOfPower(t *testing.T) {
+	is := is.New(t)
+	sim, leader := newSimulationWithLeader(t, 5)
+	learners := []*member{sim.addLearner(t, leader), sim.addLearner(t, leader)}
+	changes := replaceTwo(sim, learners...)
+	lost := sim.members[3:5:5]
+	sim.isolate(lost...)
+	_, err := leader.core.ChangeMembership(changes...)
+	is.NoErr(err)
+	sim.deliverAll()
+	is.Equal(leader.core.Membership().GetLearners(), nil)
+
+	survivor := sim.members[1]
+	sim.isolate(survivor, learners[0], learners[1]) // the leader and one more lose their disks
+	for _, m := range []*member{survivor, learners[0], learners[1]} {
+		sim.restart(m)
+	}
+	is.True(sim.runUntil(100, func() bool {
+		return survivor.core.Role() == Leader || learners[0].core.Role() == Leader || learners[1].core.Role() == Leader
+	}))
+}
--- a/internal/raft/output.go
+++ b/internal/raft/output.go
@@ -9,7 +9,7 @@
 		c.ownVotePending ||
 		c.log.stable < c.log.last() ||
 		len(c.log.applicable()) > 0 ||
-		c.hardState().needsSync(c.persisted)
+		c.hardState().needsSync(c.persisted) || c.mustStoreCommit()
 }
 
 // Ready returns the work that has accumulated since the last Ready. The driver
@@ -25,7 +25,7 @@
 		CommittedEntries:  c.log.applicable(),
 		ReadStates:        c.readStates,
 	}
-	ready.MustSync = len(ready.Entries) > 0 || ready.Snapshot != nil || state.needsSync(c.persisted)
+	ready.MustSync = len(ready.Entries) > 0 || ready.Snapshot != nil || state.needsSync(c.persisted) || c.mustStoreCommit()
 	c.messages = nil
 	c.afterSync = nil
 	c.readStates = nil
