control/repair: replace all lost voters at the same time

Two lost voters were replaced in turn: five steps each, the second catching up only once the first had its vote.

Their successors are added as learners in one entry and catch up side by side. Each that has caught up takes its voter's place in one entry, together with any other that has: there is no time with four voters, or with six, and a voter that may have its disk keeps its vote until its successor has one, as before. A learner is noticed within 20 ms of catching up instead of with the next check. Memberships with one voter less or more, as leaders of earlier versions leave them, are still completed.

The line 'membership change attempted' has the time that the change took and the time since the loss was noticed, and the voter that was replaced.

Tests: Next returns several changes.

--- a/internal/control/repair/action.go
+++ b/internal/control/repair/action.go
@@ -11,6 +11,7 @@
 	AddLearner
 	PromoteLearner
 	RemoveMember
+	ReplaceVoter // a learner becomes a voter and a dead one leaves
 )
 
 func (k Kind) String() string {
@@ -21,14 +22,17 @@
 		return "promote"
 	case RemoveMember:
 		return "remove"
+	case ReplaceVoter:
+		return "replace"
 	default:
 		return "none"
 	}
 }
 
-// Action is a membership change; the zero Action is none.
+// Action is a membership change.
 type Action struct {
-	Kind   Kind
-	Member *apiv1.MemberInfo
-	Reason string
+	Kind     Kind
+	Member   *apiv1.MemberInfo // with ReplaceVoter, the successor
+	Replaced *apiv1.MemberInfo // with ReplaceVoter, the dead voter
+	Reason   string
 }
--- a/internal/control/repair/doc.go
+++ b/internal/control/repair/doc.go
@@ -3,10 +3,10 @@
 // the replicated membership alone, so a new leader continues where its predecessor
 // stopped.
 //
-// A dead voter is replaced in three steps. A replacement is added as a learner and
-// catches up. Of a voter whose disk is lost, the removal comes before the promotion of
-// the learner: it can't vote any more, and without it no vote of the learner is required.
-// A voter that is only silent may have its disk, so its successor is promoted first, if
-// the number of voters to have is known: one more voter then means that one is to be
-// removed, one less that one is missing (a vacancy).
+// A dead voter is replaced in two steps. A replacement is added as a learner and catches
+// up; then it becomes a voter in the entry that removes the dead one. Several voters are
+// replaced at the same time. A dead voter keeps its vote until its successor has one,
+// since it may have its disk. One voter more than the cluster is to have means that one is to
+// be removed, one less that one is missing (a vacancy): leaders of earlier versions
+// promoted and removed in separate entries.
 package repair
--- a/internal/control/repair/grow_test.go
+++ b/internal/control/repair/grow_test.go
@@ -35,7 +35,7 @@
 			is := is.New(t)
 			view := repair.View{ClusterID: clusterID, Voters: c.voters, Learners: c.learners, Peers: spares, Policy: policy}
 			view.Policy.TargetVoters = 5
-			is.Equal(repair.Next(view).Kind, c.want)
+			is.Equal(onlyAction(t, view).Kind, c.want)
 		})
 	}
 }
--- a/internal/control/repair/next.go
+++ b/internal/control/repair/next.go
@@ -8,27 +8,24 @@
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 )
 
-// Next returns the next step of a repair, or an action of kind None if there is
-// nothing to do or the leader must wait. It never removes a voter if the reachable
-// voters would not be a majority afterwards.
-func Next(view View) Action {
+// Next returns the next step of a repair: changes that are made in one entry of the log,
+// or none if there is nothing to do or the leader must wait. It never removes a voter if
+// the reachable voters would not be a majority afterwards.
+func Next(view View) []Action {
 	s := analyze(view)
 	if !s.hasLiveMajority() {
-		return Action{}
+		return nil
 	}
 	if action, ok := s.removeUnneededLearner(); ok {
-		return action
+		return []Action{action}
 	}
 	if s.hasSurplus() {
 		return s.removeSurplus()
 	}
-	if len(view.Learners) > 0 {
-		return s.advanceLearner()
+	if actions := s.advanceLearners(); len(actions) > 0 {
+		return actions
 	}
-	if s.hasVacancy() || len(s.dead) > 0 {
-		return s.addLearner()
-	}
-	return Action{}
+	return s.addLearners()
 }
 
 // analysis is a view with its voters classified.
@@ -89,22 +86,22 @@
 
 // removeSurplus returns the removal of a dead voter, or of the latest one if all are
 // live again. While some voter is silent and may be the dead one, it waits.
-func (s *analysis) removeSurplus() Action {
+func (s *analysis) removeSurplus() []Action {
 	if len(s.dead) > 0 {
 		dead := slices.MinFunc(s.dead, func(a, b Member) int {
 			return cmp.Compare(s.maxVotersPerDomain(a, ""), s.maxVotersPerDomain(b, ""))
 		})
-		return removeAction(dead, fmt.Sprintf("it has been silent for %v; its successor is a voter", dead.SinceContact))
+		return []Action{removeAction(dead, fmt.Sprintf("it has been silent for %v; its successor is a voter", dead.SinceContact))}
 	}
 	isSilent := func(m Member) bool { return m.Unheard || m.SinceContact >= s.Policy.UnreachableAfter }
 	if slices.ContainsFunc(s.Voters, isSilent) {
-		return Action{}
+		return nil
 	}
 	latest := s.Voters[len(s.Voters)-1]
 	if latest.SinceContact == 0 { // it may be the leader
 		latest = s.Voters[len(s.Voters)-2]
 	}
-	return removeAction(latest, "every voter answers again")
+	return []Action{removeAction(latest, "every voter answers again")}
 }
 
 // hasVacancy reports whether a voter is missing: the cluster has one voter less than
@@ -118,83 +115,107 @@
 	return len(s.Voters)%2 == 0 || grows
 }
 
+// places returns how many voters are missing or to be replaced. The cluster grows by one voter at a time.
+func (s *analysis) places() int {
+	if s.hasVacancy() {
+		return len(s.dead) + 1
+	}
+	return len(s.dead)
+}
+
 // removeUnneededLearner returns the removal of a learner that is dead or not needed,
-// if there is one. A voter that a new leader has not heard from may be the lost one that
-// the learner is to replace.
+// if there is one. A voter that a new leader has not heard from may be a lost one that
+// a learner is to replace.
 func (s *analysis) removeUnneededLearner() (Action, bool) {
-	isUnheard := func(m Member) bool { return m.Unheard }
-	needed := s.hasVacancy() || len(s.dead) > 0 || slices.ContainsFunc(s.Voters, isUnheard)
+	places := s.places()
+	for _, voter := range s.Voters {
+		if voter.Unheard && !s.isDead(voter) {
+			places++
+		}
+	}
 	for i, learner := range s.Learners {
 		switch {
 		case s.isDead(learner):
 			return removeAction(learner, "the learner was lost"), true
-		case !needed:
+		case places == 0:
 			return removeAction(learner, "every voter answers again"), true
-		case i > 0:
+		case i >= places:
 			return removeAction(learner, "another learner takes the place"), true
 		}
 	}
 	return Action{}, false
 }
 
-// advanceLearner returns the next step for a learner once it has caught up: its
-// promotion if there is a vacancy, or else the removal of a dead voter, which makes
-// one. A voter that may still have its disk keeps its vote until the learner has one:
-// it may be needed once it is back, if other disks are lost meanwhile.
-func (s *analysis) advanceLearner() Action {
-	learner := s.Learners[0]
-	if !learner.CaughtUp || learner.SinceContact >= s.Policy.UnreachableAfter {
-		return Action{}
+// advanceLearners returns the changes that make voters of the learners that have caught up: one fills a vacancy, and
+// each of the others replaces a dead voter. While there is a vacancy, the voters that are left are all needed, so it is
+// filled by itself. A dead voter keeps its vote until its successor has one: it may have its disk, and be
+// needed once it is back, if other disks are lost meanwhile.
+func (s *analysis) advanceLearners() []Action {
+	ready := slices.DeleteFunc(slices.Clone(s.Learners), func(learner Member) bool {
+		return !learner.CaughtUp || learner.SinceContact >= s.Policy.UnreachableAfter
+	})
+	if len(ready) == 0 {
+		return nil
 	}
 	if s.hasVacancy() {
 		reason := fmt.Sprintf("it takes the free place among %d voters", len(s.Voters)+1)
-		return Action{Kind: PromoteLearner, Member: learner.Info, Reason: reason}
+		return []Action{{Kind: PromoteLearner, Member: ready[0].Info, Reason: reason}}
 	}
-	if len(s.dead) == 0 {
-		return Action{}
-	}
-	dead := s.voterToReplace(learner)
-	if s.mayHaveItsDisk(dead) && len(s.Voters) == s.Policy.TargetVoters {
-		reason := fmt.Sprintf("it takes the place of %q, silent for %v", dead.Info.GetName(), dead.SinceContact)
-		return Action{Kind: PromoteLearner, Member: learner.Info, Reason: reason}
-	}
-	if 2*len(s.live) <= len(s.Voters)-1 {
-		return Action{}
+	var actions []Action
+	dead := slices.Clone(s.dead)
+	for _, learner := range ready {
+		if len(dead) == 0 {
+			break
+		}
+		voter := s.voterToReplace(learner, dead)
+		dead = slices.DeleteFunc(dead, func(m Member) bool { return m.Info.GetIncarnation() == voter.Info.GetIncarnation() })
+		reason := fmt.Sprintf("it takes the place of %q, silent for %v", voter.Info.GetName(), voter.SinceContact)
+		actions = append(actions, Action{Kind: ReplaceVoter, Member: learner.Info, Replaced: voter.Info, Reason: reason})
 	}
-	reason := fmt.Sprintf("it has been silent for %v; %q takes its place", dead.SinceContact, learner.Info.GetName())
-	return removeAction(dead, reason)
+	return actions
 }
 
-// mayHaveItsDisk reports whether the dead voter may come back with its data: no process
-// answers under its name, so its VM may be off, suspended or out of reach.
-func (s *analysis) mayHaveItsDisk(dead Member) bool { return s.identityOf(dead) == nil }
-
-// voterToReplace returns the dead voter that the learner replaces: the one of the same
+// voterToReplace returns the one of the dead voters that the learner replaces: the one of the same
 // name if there is one, or else the one whose replacement spreads the voters best
-// over the failure domains.
-func (s *analysis) voterToReplace(learner Member) Member {
-	for _, dead := range s.dead {
-		if dead.Info.GetName() == learner.Info.GetName() {
-			return dead
+// over the failure domains, and not one whose own successor is a learner.
+func (s *analysis) voterToReplace(learner Member, dead []Member) Member {
+	for _, voter := range dead {
+		if voter.Info.GetName() == learner.Info.GetName() {
+			return voter
+		}
+	}
+	hasSuccessor := func(voter Member) int {
+		if slices.ContainsFunc(s.Learners, func(m Member) bool { return m.Info.GetName() == voter.Info.GetName() }) {
+			return 1
 		}
+		return 0
 	}
-	return slices.MinFunc(s.dead, func(a, b Member) int {
-		return cmp.Compare(s.maxVotersPerDomain(a, learner.Info.GetFailureDomain()), s.maxVotersPerDomain(b, learner.Info.GetFailureDomain()))
+	return slices.MinFunc(dead, func(a, b Member) int {
+		return cmp.Or(
+			cmp.Compare(hasSuccessor(a), hasSuccessor(b)),
+			cmp.Compare(s.maxVotersPerDomain(a, learner.Info.GetFailureDomain()), s.maxVotersPerDomain(b, learner.Info.GetFailureDomain())),
+		)
 	})
 }
 
-// addLearner returns the addition of the best replacement as a learner: the new
-// incarnation of a dead voter, or else a spare.
-func (s *analysis) addLearner() Action {
+// addLearners returns the addition of the best replacements as learners: the new
+// incarnations of dead voters, or else spares.
+func (s *analysis) addLearners() []Action {
+	var actions []Action
+	missing := s.places() - len(s.Learners)
 	for _, dead := range s.dead {
-		if peer, ok := s.newIncarnationOf(dead); ok {
-			return addAction(peer, "the disk of the voter of this name was lost")
+		if peer, ok := s.newIncarnationOf(dead); ok && len(actions) < missing {
+			actions = append(actions, addAction(peer, "the disk of the voter of this name was lost"))
 		}
 	}
-	if peer, ok := s.bestSpare(); ok {
-		return addAction(peer, "a voter is gone")
+	for len(actions) < missing {
+		peer, ok := s.bestSpare(actions)
+		if !ok {
+			break
+		}
+		actions = append(actions, addAction(peer, "a voter is gone"))
 	}
-	return Action{}
+	return actions
 }
 
 // newIncarnationOf returns the eligible process that answers under a dead voter's
--- a/internal/control/repair/next_test.go
+++ b/internal/control/repair/next_test.go
@@ -60,6 +60,20 @@
 	return peer
 }
 
+// onlyAction returns the next step, which is at most one action; None if there is nothing to do.
+func onlyAction(t *testing.T, view repair.View) repair.Action {
+	t.Helper()
+	actions := repair.Next(view)
+	switch len(actions) {
+	case 0:
+		return repair.Action{}
+	case 1:
+		return actions[0]
+	}
+	t.Fatalf("several actions: %v", actions)
+	return repair.Action{}
+}
+
 func TestNext(t *testing.T) {
 	type members = []repair.Member
 	type peers = []repair.Peer
@@ -74,41 +88,42 @@
 		peers    peers
 		kind     repair.Kind
 		member   uint64 // incarnation
+		replaced uint64 // incarnation
 	}{
-		{"all voters answer", healthy, nil, peers{peerAnswering("c", 3, clusterID), peerAnswering("d", 4, "")}, repair.None, 0},
-		{"no contact, not yet unreachable", members{member("a", 1, 0), member("b", 2, 0), member("c", 3, unreachableAfter-1)}, nil, peers{peerAnswering("c", 9, "")}, repair.None, 0},
-		{"no contact, but answers as the same incarnation", deadC, nil, peers{peerAnswering("c", 3, clusterID), peerAnswering("d", 4, "")}, repair.None, 0},
-		{"disk lost", unreachableC, nil, peers{peerAnswering("c", 9, "")}, repair.AddLearner, 9},
-		{"disk lost, a spare is available", unreachableC, nil, peers{peerAnswering("c", 9, ""), peerAnswering("d", 4, "")}, repair.AddLearner, 9},
-		{"VM unreachable, not yet dead", unreachableC, nil, peers{peerAnswering("c", 0, ""), peerAnswering("d", 4, "")}, repair.None, 0},
-		{"VM dead, a spare is available", deadC, nil, peers{peerAnswering("c", 0, ""), peerAnswering("d", 4, "")}, repair.AddLearner, 4},
-		{"VM dead, no spare", deadC, nil, peers{peerAnswering("c", 0, "")}, repair.None, 0},
-		{"spare of another cluster", deadC, nil, peers{peerAnswering("d", 4, "other")}, repair.None, 0},
-		{"spare answers under another name", deadC, nil, peers{{Name: "d", Identity: &apiv1.IdentifyResponse{Name: "e", Incarnation: 4}}}, repair.None, 0},
-		{"spare in the best failure domain", deadC, nil, peers{peerAnswering("d", 4, ""), peerAnswering("e", 5, ""), peerAnswering("f", 6, "")}, repair.AddLearner, 6},
-		{"learner behind", unreachableC, members{learner("c", 9, false)}, peers{peerAnswering("c", 9, clusterID)}, repair.None, 0},
-		{"learner caught up", unreachableC, members{learner("c", 9, true)}, peers{peerAnswering("c", 9, clusterID)}, repair.RemoveMember, 3},
-		{"vacancy", twoVoters, members{learner("c", 9, true)}, peers{peerAnswering("c", 9, clusterID)}, repair.PromoteLearner, 9},
-		{"vacancy, learner behind", twoVoters, members{learner("c", 9, false)}, peers{peerAnswering("c", 9, clusterID)}, repair.None, 0},
-		{"vacancy, no learner", twoVoters, nil, peers{peerAnswering("c", 9, "")}, repair.AddLearner, 9},
-		{"vacancy, removed incarnation is back", twoVoters, nil, peers{peerAnswering("c", 3, clusterID)}, repair.AddLearner, 3},
-		{"learner lost its disk as well", unreachableC, members{member("c", 9, unreachableAfter)}, peers{peerAnswering("c", 10, "")}, repair.RemoveMember, 9},
-		{"voter is back before it was replaced", healthy, members{learner("d", 4, true)}, peers{peerAnswering("c", 3, clusterID), peerAnswering("d", 4, clusterID)}, repair.RemoveMember, 4},
-		{"new leader has not heard from the lost voter", members{member("a", 1, 0), member("b", 2, 0), unheard("c", 3)}, members{learner("c", 9, true)}, peers{peerAnswering("c", 9, clusterID)}, repair.None, 0},
+		{"all voters answer", healthy, nil, peers{peerAnswering("c", 3, clusterID), peerAnswering("d", 4, "")}, repair.None, 0, 0},
+		{"no contact, not yet unreachable", members{member("a", 1, 0), member("b", 2, 0), member("c", 3, unreachableAfter-1)}, nil, peers{peerAnswering("c", 9, "")}, repair.None, 0, 0},
+		{"no contact, but answers as the same incarnation", deadC, nil, peers{peerAnswering("c", 3, clusterID), peerAnswering("d", 4, "")}, repair.None, 0, 0},
+		{"disk lost", unreachableC, nil, peers{peerAnswering("c", 9, "")}, repair.AddLearner, 9, 0},
+		{"disk lost, a spare is available", unreachableC, nil, peers{peerAnswering("c", 9, ""), peerAnswering("d", 4, "")}, repair.AddLearner, 9, 0},
+		{"VM unreachable, not yet dead", unreachableC, nil, peers{peerAnswering("c", 0, ""), peerAnswering("d", 4, "")}, repair.None, 0, 0},
+		{"VM dead, a spare is available", deadC, nil, peers{peerAnswering("c", 0, ""), peerAnswering("d", 4, "")}, repair.AddLearner, 4, 0},
+		{"VM dead, no spare", deadC, nil, peers{peerAnswering("c", 0, "")}, repair.None, 0, 0},
+		{"spare of another cluster", deadC, nil, peers{peerAnswering("d", 4, "other")}, repair.None, 0, 0},
+		{"spare answers under another name", deadC, nil, peers{{Name: "d", Identity: &apiv1.IdentifyResponse{Name: "e", Incarnation: 4}}}, repair.None, 0, 0},
+		{"spare in the best failure domain", deadC, nil, peers{peerAnswering("d", 4, ""), peerAnswering("e", 5, ""), peerAnswering("f", 6, "")}, repair.AddLearner, 6, 0},
+		{"learner behind", unreachableC, members{learner("c", 9, false)}, peers{peerAnswering("c", 9, clusterID)}, repair.None, 0, 0},
+		{"learner caught up", unreachableC, members{learner("c", 9, true)}, peers{peerAnswering("c", 9, clusterID)}, repair.ReplaceVoter, 9, 3},
+		{"vacancy", twoVoters, members{learner("c", 9, true)}, peers{peerAnswering("c", 9, clusterID)}, repair.PromoteLearner, 9, 0},
+		{"vacancy, learner behind", twoVoters, members{learner("c", 9, false)}, peers{peerAnswering("c", 9, clusterID)}, repair.None, 0, 0},
+		{"vacancy, no learner", twoVoters, nil, peers{peerAnswering("c", 9, "")}, repair.AddLearner, 9, 0},
+		{"vacancy, removed incarnation is back", twoVoters, nil, peers{peerAnswering("c", 3, clusterID)}, repair.AddLearner, 3, 0},
+		{"learner lost its disk as well", unreachableC, members{member("c", 9, unreachableAfter)}, peers{peerAnswering("c", 10, "")}, repair.RemoveMember, 9, 0},
+		{"voter is back before it was replaced", healthy, members{learner("d", 4, true)}, peers{peerAnswering("c", 3, clusterID), peerAnswering("d", 4, clusterID)}, repair.RemoveMember, 4, 0},
+		{"new leader has not heard from the lost voter", members{member("a", 1, 0), member("b", 2, 0), unheard("c", 3)}, members{learner("c", 9, true)}, peers{peerAnswering("c", 9, clusterID)}, repair.None, 0, 0},
 		{"learner unreachable", unreachableC, members{func() repair.Member {
 			m := learner("c", 9, true)
 			m.SinceContact = unreachableAfter
 			return m
-		}()}, peers{peerAnswering("c", 9, clusterID)}, repair.None, 0},
-		{"no majority answers", members{member("a", 1, 0), member("b", 2, unreachableAfter), member("c", 3, unreachableAfter)}, nil, peers{peerAnswering("b", 8, ""), peerAnswering("c", 9, "")}, repair.None, 0},
-		{"two of five lost, a learner caught up", members{member("a", 1, 0), member("b", 2, 0), member("c", 3, 0), member("d", 4, unreachableAfter), member("e", 5, unreachableAfter)}, members{learner("e", 9, true)}, peers{peerAnswering("d", 8, ""), peerAnswering("e", 9, clusterID)}, repair.RemoveMember, 5},
-		{"two of five lost, one vacancy", members{member("a", 1, 0), member("b", 2, 0), member("c", 3, 0), member("d", 4, unreachableAfter)}, members{learner("e", 9, true)}, peers{peerAnswering("d", 8, ""), peerAnswering("e", 9, clusterID)}, repair.PromoteLearner, 9},
-		{"single voter", members{member("a", 1, 0)}, nil, peers{peerAnswering("b", 2, "")}, repair.None, 0},
+		}()}, peers{peerAnswering("c", 9, clusterID)}, repair.None, 0, 0},
+		{"no majority answers", members{member("a", 1, 0), member("b", 2, unreachableAfter), member("c", 3, unreachableAfter)}, nil, peers{peerAnswering("b", 8, ""), peerAnswering("c", 9, "")}, repair.None, 0, 0},
+		{"two of five lost, a learner caught up", members{member("a", 1, 0), member("b", 2, 0), member("c", 3, 0), member("d", 4, unreachableAfter), member("e", 5, unreachableAfter)}, members{learner("e", 9, true)}, peers{peerAnswering("d", 8, ""), peerAnswering("e", 9, clusterID)}, repair.ReplaceVoter, 9, 5},
+		{"two of five lost, one vacancy", members{member("a", 1, 0), member("b", 2, 0), member("c", 3, 0), member("d", 4, unreachableAfter)}, members{learner("e", 9, true)}, peers{peerAnswering("d", 8, ""), peerAnswering("e", 9, clusterID)}, repair.PromoteLearner, 9, 0},
+		{"single voter", members{member("a", 1, 0)}, nil, peers{peerAnswering("b", 2, "")}, repair.None, 0, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			action := repair.Next(repair.View{
+			action := onlyAction(t, repair.View{
 				ClusterID: clusterID,
 				Voters:    c.voters,
 				Learners:  c.learners,
@@ -117,6 +132,7 @@
 			})
 			is.Equal(action.Kind, c.kind)
 			is.Equal(action.Member.GetIncarnation(), c.member)
+			is.Equal(action.Replaced.GetIncarnation(), c.replaced)
 		})
 	}
 }
--- a/internal/control/repair/rapid_test.go
+++ b/internal/control/repair/rapid_test.go
@@ -108,18 +108,23 @@
 	if !s.hasQuorum() {
 		return
 	}
-	action := repair.Next(s.view(t))
+	actions := repair.Next(s.view(t))
 	earlierLearners := slices.Clone(s.learners)
-	if s.removesRunningVoter(action) {
-		t.Fatalf("removed voter %v, which is running", action.Member)
+	for _, action := range actions {
+		if s.removesRunningVoter(action) {
+			t.Fatalf("removed voter %v, which is running", action.Member)
+		}
+		s.perform(action)
 	}
-	s.perform(action)
-	s.checkStep(t, action, earlierLearners)
+	s.checkStep(t, actions, earlierLearners)
 }
 
 func (s *simulatedCluster) removesRunningVoter(action repair.Action) bool {
-	incarnation := action.Member.GetIncarnation()
-	return action.Kind == repair.RemoveMember && slices.Contains(s.voters, incarnation) && s.isRunning(incarnation)
+	removed := action.Replaced.GetIncarnation()
+	if action.Kind == repair.RemoveMember {
+		removed = action.Member.GetIncarnation()
+	}
+	return slices.Contains(s.voters, removed) && s.isRunning(removed)
 }
 
 // perform applies a change of the membership.
@@ -131,6 +136,9 @@
 	case repair.PromoteLearner:
 		s.learners = without(s.learners, incarnation)
 		s.voters = append(s.voters, incarnation)
+	case repair.ReplaceVoter:
+		s.learners = without(s.learners, incarnation)
+		s.voters = append(without(s.voters, action.Replaced.GetIncarnation()), incarnation)
 	case repair.RemoveMember:
 		s.voters = without(s.voters, incarnation)
 		s.learners = without(s.learners, incarnation)
@@ -139,13 +147,13 @@
 
 // checkStep checks that the step can commit and leaves a majority, even if every learner
 // from before the step is lost at this moment.
-func (s *simulatedCluster) checkStep(t *rapid.T, action repair.Action, earlierLearners []uint64) {
+func (s *simulatedCluster) checkStep(t *rapid.T, actions []repair.Action, earlierLearners []uint64) {
 	if len(s.voters) != s.size && len(s.voters) != s.size-1 {
-		t.Fatalf("%d voters after %v; the cluster was formed with %d voters", len(s.voters), action.Kind, s.size)
+		t.Fatalf("%d voters after %v; the cluster was formed with %d voters", len(s.voters), actions, s.size)
 	}
 	earlierVoters := slices.DeleteFunc(slices.Clone(s.voters), func(v uint64) bool { return slices.Contains(earlierLearners, v) })
 	if 2*s.countRunning(earlierVoters) <= len(s.voters) {
-		t.Fatalf("%v of %v leaves no majority without the learners from before", action.Kind, action.Member)
+		t.Fatalf("%v leaves no majority without the learners from before", actions)
 	}
 }
 
--- a/internal/control/repair/spare.go
+++ b/internal/control/repair/spare.go
@@ -2,56 +2,63 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 )
 
 // bestSpare returns the eligible process that spreads the voters best over the failure
 // domains, so that the loss of any one domain leaves a majority where that is
-// possible. Ties are broken by name.
-func (s *analysis) bestSpare() (Peer, bool) {
+// possible, given the learners that are to be added as well. Ties are broken by name.
+func (s *analysis) bestSpare(added []Action) (Peer, bool) {
 	var spares []Peer
 	for _, peer := range s.Peers {
-		if s.isEligible(peer) && !s.isLiveVoterName(peer.Name) {
+		isAdded := func(a Action) bool { return a.Member.GetIncarnation() == peer.Identity.GetIncarnation() }
+		if s.isEligible(peer) && !s.isLiveVoterName(peer.Name) && !slices.ContainsFunc(added, isAdded) {
 			spares = append(spares, peer)
 		}
 	}
 	if len(spares) == 0 {
 		return Peer{}, false
 	}
+	domains := s.domainsAfterRepair(added)
+	votersIn := func(peer Peer) int { return maxPerDomain(append(slices.Clone(domains), peer.FailureDomain)) }
 	return slices.MinFunc(spares, func(a, b Peer) int {
-		return cmp.Or(
-			cmp.Compare(s.lowestMaxVotersPerDomain(a.FailureDomain), s.lowestMaxVotersPerDomain(b.FailureDomain)),
-			cmp.Compare(a.Name, b.Name),
-		)
+		return cmp.Or(cmp.Compare(votersIn(a), votersIn(b)), cmp.Compare(a.Name, b.Name))
 	}), true
 }
 
-// lowestMaxVotersPerDomain returns maxVotersPerDomain once a voter in the domain fills
-// the vacancy, or replaces the dead voter for which the result is lowest.
-func (s *analysis) lowestMaxVotersPerDomain(domain string) int {
-	if s.hasVacancy() {
-		return s.maxVotersPerDomain(Member{}, domain)
+// domainsAfterRepair returns the failure domains of the voters that are not dead, of the learners and of those to be added.
+func (s *analysis) domainsAfterRepair(added []Action) []string {
+	var domains []string
+	for _, member := range slices.Concat(s.Voters, s.Learners) {
+		if !s.isDead(member) {
+			domains = append(domains, member.Info.GetFailureDomain())
+		}
 	}
-	least := math.MaxInt
-	for _, dead := range s.dead {
-		least = min(least, s.maxVotersPerDomain(dead, domain))
+	for _, action := range added {
+		domains = append(domains, action.Member.GetFailureDomain())
 	}
-	return least
+	return domains
 }
 
 // maxVotersPerDomain returns the largest number of voters in one failure domain after
 // the voter leaving is replaced by one in the given domain.
 func (s *analysis) maxVotersPerDomain(leaving Member, domain string) int {
-	counts := map[string]int{domain: 1}
-	most := 1
+	domains := []string{domain}
 	for _, voter := range s.Voters {
-		if voter.Info.GetIncarnation() == leaving.Info.GetIncarnation() {
-			continue
+		if voter.Info.GetIncarnation() != leaving.Info.GetIncarnation() {
+			domains = append(domains, voter.Info.GetFailureDomain())
 		}
-		at := voter.Info.GetFailureDomain()
-		counts[at]++
-		most = max(most, counts[at])
+	}
+	return maxPerDomain(domains)
+}
+
+// maxPerDomain returns how often the most frequent of the domains occurs.
+func maxPerDomain(domains []string) int {
+	counts := make(map[string]int)
+	most := 0
+	for _, domain := range domains {
+		counts[domain]++
+		most = max(most, counts[domain])
 	}
 	return most
 }
--- a/internal/control/repair_driver.go
+++ b/internal/control/repair_driver.go
@@ -11,6 +11,7 @@
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 	"github.com/pistachioport/pistachioport/internal/control/repair"
+	"github.com/pistachioport/pistachioport/internal/raft"
 	"github.com/pistachioport/pistachioport/internal/replica"
 	"github.com/pistachioport/pistachioport/internal/state"
 )
@@ -20,7 +21,8 @@
 	repairLogInterval      = time.Second            // between two log lines about what a repair waits for
 	promotionRetryInterval = 20 * time.Millisecond  // while the learner lacks the entry that removed its predecessor
 	memberChangeTimeout    = 10 * time.Second
-	maxLearnerLag          = 500 // entries that a learner may be behind the commit index to be promoted; less than the log's own limit
+	learnerPollInterval    = 20 * time.Millisecond // between two looks whether a learner has caught up
+	maxLearnerLag          = 500                   // entries that a learner may be behind the commit index to be promoted; less than the log's own limit
 )
 
 // repairMembership periodically checks the membership and replaces lost voters, one
@@ -32,12 +34,10 @@
 	ticker := time.NewTicker(l.server.RepairInterval)
 	defer ticker.Stop()
 	for {
-		select {
-		case <-ctx.Done():
+		if !checks.awaitNext(ctx, ticker.C) {
 			return nil
-		case <-ticker.C:
 		}
-		// Between the removal of a voter and the promotion of its successor, the next loss may leave no majority.
+		// Until the lost voters are replaced, the next loss may leave no majority.
 		for checks.changesVoters(ctx) {
 		}
 	}
@@ -50,34 +50,76 @@
 	audit  repairAudit
 	logged time.Time // when a check last logged what the repair waits for
 
-	promotionWaits bool // the last check found a vacancy and a learner that can't be promoted yet
+	noticed time.Time // when the checks began to find something to repair; zero: they don't
+
+	promotionWaits bool // the last check found a learner that can't be promoted yet
+	caughtUp       int  // learners that had caught up at the last check
+	behind         int  // learners that had not
+}
+
+// awaitNext waits for the next check: that is due, or a learner has caught up. It returns false if ctx has ended.
+func (c *membershipChecks) awaitNext(ctx context.Context, due <-chan time.Time) bool {
+	var poll <-chan time.Time
+	if c.behind > 0 {
+		ticker := time.NewTicker(learnerPollInterval)
+		defer ticker.Stop()
+		poll = ticker.C
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-due:
+			return true
+		case <-poll:
+			status := c.server.Log.Status()
+			if caughtUp, _ := countCaughtUp(repairMembers(status, status.Membership.GetLearners())); caughtUp > c.caughtUp {
+				return true
+			}
+		}
+	}
+}
+
+func countCaughtUp(learners []repair.Member) (caughtUp, behind int) {
+	for _, learner := range learners {
+		if learner.CaughtUp {
+			caughtUp++
+		}
+	}
+	return caughtUp, len(learners) - caughtUp
 }
 
 // changesVoters checks the membership once. It reports whether the voters have changed, or a promotion is to be tried again
 // after a pause that it has made.
 func (c *membershipChecks) changesVoters(ctx context.Context) bool {
 	change := c.next(ctx)
-	return change == repair.RemoveMember || change == repair.PromoteLearner || c.promotionWaits && sleep(ctx, promotionRetryInterval)
+	changesVoters := change == repair.RemoveMember || change == repair.PromoteLearner || change == repair.ReplaceVoter
+	return changesVoters || c.promotionWaits && sleep(ctx, promotionRetryInterval)
 }
 
-// next checks the membership once, and returns the kind of the change that it made.
+// next checks the membership once, and returns the kind of the changes that it made.
 func (c *membershipChecks) next(ctx context.Context) repair.Kind {
 	c.promotionWaits = false
 	status := c.server.Log.Status()
+	c.caughtUp, c.behind = countCaughtUp(repairMembers(status, status.Membership.GetLearners()))
 	if !c.server.needsRepair(status) {
 		c.probes.reset()
+		c.noticed = time.Time{}
 		return repair.None
 	}
+	if c.noticed.IsZero() {
+		c.noticed = time.Now()
+	}
 	view := c.server.repairView(ctx, status, &c.probes)
-	action := repair.Next(view)
+	actions := repair.Next(view)
 	if !c.isCurrent() {
 		current := c.server.Log.Status()
 		c.server.Logger.Info("membership repair skipped by an ended leadership", "term", c.term,
 			"current_term", current.Term, "leads", current.IsLeader)
 		return repair.None
 	}
-	if action.Kind != repair.None {
-		return c.changeMembership(ctx, action, view)
+	if len(actions) > 0 {
+		return c.changeMembership(ctx, actions, view)
 	}
 	c.logWait(view, nil)
 	return repair.None
@@ -233,52 +275,76 @@
 }
 
 // changeMembership performs one step and records it in the audit trail. It returns the
-// kind of the change if it was made. A change that is not possible yet is tried again with
+// kind of the changes if they were made. A step that is not possible yet is tried again with
 // the next check.
-func (c *membershipChecks) changeMembership(ctx context.Context, action repair.Action, view repair.View) repair.Kind {
+func (c *membershipChecks) changeMembership(ctx context.Context, actions []repair.Action, view repair.View) repair.Kind {
 	s := c.server
 	ctx, cancel := context.WithTimeout(ctx, memberChangeTimeout)
 	defer cancel()
-	member := action.Member
-	err := s.applyMembershipChange(ctx, action)
+	begin, kind := time.Now(), actions[len(actions)-1].Kind
+	err := s.Log.ChangeMembership(ctx, logChanges(actions)...)
 	if errors.IsAny(err, replica.ErrChangeInProgress, replica.ErrNotCaughtUp, replica.ErrNotLeader) {
-		c.promotionWaits = action.Kind == repair.PromoteLearner && errors.Is(err, replica.ErrNotCaughtUp)
+		c.promotionWaits = kind != repair.AddLearner && errors.Is(err, replica.ErrNotCaughtUp)
 		c.logWait(view, err)
 		return repair.None
 	}
-	made, outcome, detail := action.Kind, state.OutcomeApplied, action.Reason
+	if kind == repair.AddLearner {
+		c.behind += len(actions)
+	}
+	for _, action := range actions {
+		c.recordChange(action, err, time.Since(begin))
+	}
+	if err != nil {
+		return repair.None
+	}
+	return kind
+}
+
+// recordChange logs one change of a step, counts it and records it in the audit trail.
+func (c *membershipChecks) recordChange(action repair.Action, err error, took time.Duration) {
+	s := c.server
+	outcome, detail := state.OutcomeApplied, action.Reason
 	if err != nil {
-		made, outcome, detail = repair.None, state.OutcomeFailed, err.Error()
+		outcome, detail = state.OutcomeFailed, err.Error()
 	}
-	s.Logger.Info("membership change attempted", "change", action.Kind.String(), "member", member.GetName(),
-		"incarnation", member.GetIncarnation(), "outcome", outcome, "detail", detail)
+	s.Logger.Info("membership change attempted", "change", action.Kind.String(), "member", action.Member.GetName(),
+		"incarnation", action.Member.GetIncarnation(), "replaced", action.Replaced.GetIncarnation(), "outcome", outcome,
+		"duration_ms", took.Milliseconds(), "since_noticed_ms", time.Since(c.noticed).Milliseconds(), "detail", detail)
 	counter(s.Metrics, "control.repair."+action.Kind.String()).Inc(1)
-	c.audit.record(&apiv1.AuditRecord{
-		Actor:   s.Name,
-		Action:  auditActions[action.Kind],
-		Object:  member.GetName(),
-		Outcome: outcome,
-		Detail:  detail,
-	})
-	return made
+	for _, change := range logChanges([]repair.Action{action}) {
+		c.audit.record(&apiv1.AuditRecord{
+			Actor:   s.Name,
+			Action:  auditActions[change.Kind],
+			Object:  change.Member.GetName(),
+			Outcome: outcome,
+			Detail:  detail,
+		})
+	}
 }
 
-func (s *Server) applyMembershipChange(ctx context.Context, action repair.Action) error {
-	switch action.Kind {
-	case repair.AddLearner:
-		return s.Log.AddLearner(ctx, action.Member)
-	case repair.PromoteLearner:
-		return s.Log.PromoteLearner(ctx, action.Member.GetIncarnation())
-	case repair.RemoveMember:
-		return s.Log.RemoveMember(ctx, action.Member.GetIncarnation())
-	default:
-		return errors.Newf("unknown membership change %v", action.Kind)
+// logChanges returns the changes of the log's membership that make up a step.
+func logChanges(actions []repair.Action) []raft.Change {
+	var changes []raft.Change
+	for _, action := range actions {
+		switch action.Kind {
+		case repair.AddLearner:
+			changes = append(changes, raft.Change{Kind: raft.AddLearner, Member: action.Member})
+		case repair.PromoteLearner:
+			changes = append(changes, raft.Change{Kind: raft.PromoteLearner, Member: action.Member})
+		case repair.RemoveMember:
+			changes = append(changes, raft.Change{Kind: raft.RemoveMember, Member: action.Member})
+		case repair.ReplaceVoter:
+			changes = append(changes, raft.Change{Kind: raft.RemoveMember, Member: action.Replaced},
+				raft.Change{Kind: raft.PromoteLearner, Member: action.Member})
+		case repair.None:
+		}
 	}
+	return changes
 }
 
 // auditActions maps membership changes to their names in the audit trail.
-var auditActions = map[repair.Kind]string{
-	repair.AddLearner:     state.ActionMemberAdd,
-	repair.PromoteLearner: state.ActionMemberPromote,
-	repair.RemoveMember:   state.ActionMemberRemove,
+var auditActions = map[raft.ChangeKind]string{
+	raft.AddLearner:     state.ActionMemberAdd,
+	raft.PromoteLearner: state.ActionMemberPromote,
+	raft.RemoveMember:   state.ActionMemberRemove,
 }
