replica: know a new member's address before its first message

The messages that a membership change caused were sent before the transport knew the addresses of the changed membership, so the first message to a new learner was dropped.

--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -176,6 +176,7 @@
 
 // processReady does the work of a Ready in the order that it documents.
 func (r *Replica) processReady(ready raft.Ready) error {
+	r.addressMembers() // the messages may be for a member that is new
 	r.transport.send(ready.Messages)
 	if ready.Snapshot != nil {
 		if err := r.store.InstallSnapshot(ready.Snapshot); err != nil {
--- a/internal/replica/publish.go
+++ b/internal/replica/publish.go
@@ -57,7 +57,12 @@
 		r.changed = make(chan struct{})
 	}
 	r.mu.Unlock()
-	if earlier.Membership != membership {
+}
+
+// addressMembers tells the transport the members of a changed membership.
+func (r *Replica) addressMembers() {
+	if membership := r.core.Membership(); membership != r.addressed {
+		r.addressed = membership
 		r.transport.updateMembership(membership, r.core.DepartingVoters())
 	}
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -38,6 +38,7 @@
 	batch      []*proposal        // to be appended together
 	tickedAt   time.Time          // time to which the core's timers are advanced
 	heard      map[uint64]contact // of the other members while this one leads
+	addressed  *apiv1.Membership  // that the transport knows
 	leaderTerm uint64             // term that this member leads; 0: it is not the leader
 	syncTimes  syncTimes
 	leaderless leaderless
@@ -92,6 +93,7 @@
 	if state.Snapshot != nil {
 		r.applier.push(applyTask{snapshot: state.Snapshot})
 	}
+	r.addressMembers()
 	r.publish()
 	return r, nil
 }
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -144,8 +144,15 @@
 func (t *transport) send(messages []*apiv1.RaftMessage) {
 	for _, message := range messages {
 		s := t.sender(message.GetTo())
-		if s == nil || !s.enqueue(message) {
-			t.counters.messagesDropped.Inc(1)
+		if s != nil && s.enqueue(message) {
+			continue
+		}
+		t.counters.messagesDropped.Inc(1)
+		if message.GetType() == apiv1.RaftMessage_TYPE_SNAPSHOT {
+			select {
+			case t.snapshotResults <- snapshotResult{message.GetTo(), false}:
+			default: // the core gives the snapshot up in time
+			}
 		}
 	}
 }
