control: a voter whose process responds late is not removed

A voter with calls held for 1 s in each direction is up, and was removed after 1.8 s: it is silent for 2 s when that begins, DeadAfter is 1.5 s, and identification took a response after 1 s for none.

Whether a VM accepts the connection tells a slow process from a VM that is gone. A call that is connected goes on for 3 s, with another each second beside it, and a response counts also if it is late. A member whose VM accepts connections, and whose process doesn't respond, counts as gone after twice DeadAfter (3 s of the 6 on the users' platform), so a frozen process is still replaced; a VM that accepts none after DeadAfter, as before.

A member that finds itself removed logs 'removed from the membership'.

--- a/internal/control/bootstrap.go
+++ b/internal/control/bootstrap.go
@@ -71,9 +71,15 @@
 // configured with are gone.
 func (s *Server) RegisterAsSpare(ctx context.Context, client *rpc.Client, failureDomain string) {
 	hadLeader := true // at the previous check; an election is shorter than the time between two
+	wasVoter := s.isVoter()
 	for {
+		isVoter := s.isVoter()
+		if wasVoter && !isVoter {
+			s.Logger.Warn("removed from the membership", "incarnation", s.Log.Status().Incarnation, "voters", len(s.Log.Status().Membership.GetVoters()))
+		}
+		wasVoter = isVoter
 		hasLeader, wait := s.Log.Status().Leader != 0, spareRegistrationInterval
-		if !s.isVoter() || !hasLeader && !hadLeader {
+		if !isVoter || !hasLeader && !hadLeader {
 			if err := s.registerAsSpare(ctx, client, failureDomain); err != nil {
 				s.Logger.Info("spare registration failed", "addresses", client.Addresses(), "error", err)
 				wait = spareRetryInterval
--- a/internal/control/identity_probes.go
+++ b/internal/control/identity_probes.go
@@ -10,8 +10,8 @@
 )
 
 // identityWait is how long a check of the membership waits for processes to identify
-// themselves. A call that is not answered by then goes on until identifyTimeout, and the
-// next checks use its response.
+// themselves. A call that is not answered by then goes on, and the next checks use its
+// response. After identifyTimeout the process is called again beside it.
 const identityWait = 300 * time.Millisecond
 
 // identityProbes identifies the processes that a check of the membership asks about. A
@@ -28,7 +28,10 @@
 type identityProbe struct {
 	identity *apiv1.IdentifyResponse // its latest response; nil: the latest call was not answered in time
 	silent   bool                    // it has not responded since a check waited for it
-	calledAt time.Time               // start of the call in flight; zero: none
+	calledAt time.Time               // start of the latest call if that is in flight; zero: it is not
+
+	answeredAt time.Time // start of the call that the latest response was to
+	connected  int       // calls in flight that its VM has accepted the connections of
 }
 
 // identify calls the peers and sets their identities. It returns once all have responded
@@ -55,7 +58,7 @@
 	defer p.mu.Unlock()
 	for i := range peers {
 		probe := p.byAddress[peers[i].Address]
-		peers[i].Identity = probe.identity
+		peers[i].Identity, peers[i].Connected = probe.identity, probe.connected > 0
 		probe.silent = probe.identity == nil
 	}
 }
@@ -76,23 +79,24 @@
 	if time.Since(probe.calledAt) < identifyTimeout {
 		return nil
 	}
-	if !probe.calledAt.IsZero() { // the last call ends at this moment
+	if !probe.calledAt.IsZero() && probe.connected == 0 { // the last call ends at this moment
 		probe.identity = nil
 	}
 	calledAt, done := time.Now(), make(chan struct{})
 	probe.calledAt = calledAt
 	go func() {
 		defer close(done)
-		identity, err := clients.identify(ctx, address)
+		connected := 0
+		identity, err := clients.identifyPatiently(ctx, address, func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			connected = 1
+			probe.connected++
+		})
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		if probe.calledAt != calledAt { // a later call has begun
-			return
-		}
-		probe.calledAt, probe.identity = time.Time{}, nil
-		if err == nil {
-			probe.identity = identity
-		}
+		probe.connected -= connected
+		probe.end(calledAt, identity, err)
 	}()
 	if probe.silent || probe.identity != nil {
 		return nil
@@ -100,6 +104,20 @@
 	return done
 }
 
+// end records the end of the call that began at the given time.
+func (p *identityProbe) end(calledAt time.Time, identity *apiv1.IdentifyResponse, err error) {
+	if p.calledAt.Equal(calledAt) {
+		p.calledAt = time.Time{}
+	}
+	switch {
+	case calledAt.Before(p.answeredAt): // a later call was answered
+	case err == nil:
+		p.identity, p.answeredAt = identity, calledAt
+	default:
+		p.identity = nil
+	}
+}
+
 // reset forgets all processes. Calls in flight end without effect.
 func (p *identityProbes) reset() {
 	p.mu.Lock()
--- a/internal/control/identity_probes_test.go
+++ b/internal/control/identity_probes_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -128,3 +129,64 @@
 	time.Sleep(s.delay)
 	return s.next.RoundTrip(request)
 }
+
+// acceptingProcess accepts each connection at once and responds after the delay.
+type acceptingProcess struct {
+	delay time.Duration
+	next  http.RoundTripper
+}
+
+func (a *acceptingProcess) RoundTrip(request *http.Request) (*http.Response, error) {
+	httptrace.ContextClientTrace(request.Context()).GotConn(httptrace.GotConnInfo{})
+	select {
+	case <-time.After(a.delay):
+		return a.next.RoundTrip(request)
+	case <-request.Context().Done():
+		return nil, request.Context().Err()
+	}
+}
+
+// A process that took longer than identifyTimeout to respond counted as one that doesn't answer, and its voter was removed.
+func TestProcessThatRespondsLateIsIdentified(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		processes := &identifyingProcesses{}
+		clients := &peerClients{client: &http.Client{Transport: &acceptingProcess{2 * identifyTimeout, processes}}}
+		probes := &identityProbes{}
+		check := func() repair.Peer {
+			peers := []repair.Peer{{Name: "slow", Address: "slow"}}
+			probes.identify(t.Context(), clients, peers)
+			return peers[0]
+		}
+		for begin := time.Now(); time.Since(begin) < 2*identifyTimeout; time.Sleep(defaultRepairInterval) {
+			peer := check()
+			is.Equal(peer.Identity, nil)
+			is.True(peer.Connected)
+		}
+		is.Equal(check().Identity.GetName(), "slow")
+		time.Sleep(identifyPatience)
+		synctest.Wait()
+		probes.mu.Lock()
+		defer probes.mu.Unlock()
+		is.Equal(probes.byAddress["slow"].connected, 0)
+	})
+}
+
+// The VM is up, but the process never responds.
+func TestCallOfAFrozenProcessEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clients := &peerClients{client: &http.Client{Transport: &acceptingProcess{time.Hour, &identifyingProcesses{}}}}
+		probes := &identityProbes{}
+		begin := time.Now()
+		_, err := clients.identifyPatiently(t.Context(), "frozen", func() {})
+		is.True(err != nil)
+		is.Equal(time.Since(begin), identifyPatience)
+		peers := []repair.Peer{{Name: "frozen", Address: "frozen"}}
+		probes.identify(t.Context(), clients, peers)
+		is.True(peers[0].Connected)
+		time.Sleep(identifyPatience)
+		synctest.Wait()
+		is.Equal(probes.byAddress["frozen"].connected, 0)
+	})
+}
--- a/internal/control/peer_clients.go
+++ b/internal/control/peer_clients.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
@@ -10,6 +11,7 @@
 
 const (
 	identifyTimeout   = time.Second
+	identifyPatience  = 3 * time.Second  // for a process whose VM has accepted the connection
 	formTimeout       = 3 * time.Second  // a process writes its membership to disk before it answers
 	reportIdleTimeout = 10 * time.Second // of a connection without reports
 )
@@ -43,6 +45,22 @@
 	return peer.Identify(ctx, &apiv1.IdentifyRequest{})
 }
 
+// identifyPatiently is identify for a process that may be slow: the call takes at most identifyPatience once it is
+// connected. connected is called when it is.
+func (p *peerClients) identifyPatiently(ctx context.Context, address string, connected func()) (*apiv1.IdentifyResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, identifyPatience)
+	defer cancel()
+	unconnected := time.AfterFunc(identifyTimeout, cancel)
+	defer unconnected.Stop()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+		if unconnected.Stop() {
+			connected()
+		}
+	}})
+	peer := apiv1.NewPeerProtobufClient("http://"+address, p.client)
+	return peer.Identify(ctx, &apiv1.IdentifyRequest{})
+}
+
 // form asks the process at the address to form the cluster. The call takes at most
 // formTimeout.
 func (p *peerClients) form(ctx context.Context, address string, request *apiv1.FormRequest) error {
--- a/internal/control/repair/next.go
+++ b/internal/control/repair/next.go
@@ -8,6 +8,9 @@
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 )
 
+// slowPatience is how many times as long as Policy.DeadAfter a member may be silent whose VM accepts connections.
+const slowPatience = 2
+
 // Next returns the next step of a repair: changes that are made in one entry of the log,
 // or none if there is nothing to do or the leader must wait. It never removes a voter if
 // the reachable voters would not be a majority afterwards.
@@ -51,9 +54,13 @@
 // isDead reports whether a member is to be replaced. Either its disk was lost, so that
 // its VM answers as another incarnation, and the last contact was at least
 // Policy.UnreachableAfter ago; or no process answers under its name, and the last
-// contact was at least Policy.DeadAfter ago.
+// contact was at least Policy.DeadAfter ago, or slowPatience times as long if its VM
+// accepts connections: a process that answers late is not lost.
 func (s *analysis) isDead(member Member) bool {
 	identity := s.identityOf(member)
+	if identity == nil && s.isConnected(member) {
+		return member.SinceContact >= slowPatience*s.Policy.DeadAfter
+	}
 	if identity == nil {
 		return member.SinceContact >= s.Policy.DeadAfter
 	}
@@ -74,6 +81,11 @@
 	return nil
 }
 
+// isConnected reports whether the VM at the member's address accepted a connection for a call that is not answered yet.
+func (s *analysis) isConnected(member Member) bool {
+	return slices.ContainsFunc(s.Peers, func(p Peer) bool { return p.Connected && p.Address == member.Info.GetAddress() })
+}
+
 func (s *analysis) hasLiveMajority() bool {
 	return 2*len(s.live) > len(s.Voters)
 }
--- a/internal/control/repair/view.go
+++ b/internal/control/repair/view.go
@@ -18,7 +18,7 @@
 // Policy sets when a member is replaced and how many voters the cluster has.
 type Policy struct {
 	UnreachableAfter time.Duration // time without contact after which a member is replaced if its VM answers as another incarnation
-	DeadAfter        time.Duration // time without contact after which a member is replaced if no process answers under its name
+	DeadAfter        time.Duration // time without contact after which a member is replaced if no process answers under its name; longer if its VM accepts connections
 	TargetVoters     int           // number of voters to grow to while all are live; 0: as many as it was formed with
 }
 
@@ -36,4 +36,5 @@
 	Address       string
 	FailureDomain string
 	Identity      *apiv1.IdentifyResponse // nil: it does not answer
+	Connected     bool                    // its VM accepted the connection of a call that is not answered yet
 }
