replica: a process that lost its disk doesn't respond for the voter before it

Callers saw: no leader, as long as calls between the voters that are left take 0.4 s and more, after two voters had lost their disks.

Cause: election timeouts follow the time that calls take to the fastest majority. A process that has lost its disk comes back at its address as another incarnation, and answered the calls to the one before at once: as a voter that is gone it was the fastest. The voters that were left did not wait for each other's votes, and began campaign after campaign. A process that is down, too, counted with its last times for 5 s, as calls that fail were left out. Class: a response of something else is taken for one of what is measured.

Change: Step refuses messages to another incarnation and names its own, and a voter has no call time while the latest call to it failed. The lines of a member without a leader say within the first 200 characters which voters have lost their disks ("no leader: voter", process "disk lost"); before, such a voter looked like one that is up and ignores requests.

TestMessagesToAnotherIncarnationAreRefused and TestLogTellsThatAVoterLostItsDisk failed before.

TestMembersAreServedBesideFullMemory sent a message without an addressee, which is refused now; it names the member. TestLogTellsWhyThereIsNoLeader has the vote's new word.

--- a/internal/daemon/member_calls_test.go
+++ b/internal/daemon/member_calls_test.go
@@ -210,7 +210,9 @@
 	s.openWaiting(make([]byte, testBodyBytes))
 	is.True(s.refused.Load() > 0)
 	m := s.newMember()
-	message := &apiv1.RaftMessage{SnapshotData: make([]byte, testBodyBytes)}
+	identity, err := m.peer.Identify(t.Context(), &apiv1.IdentifyRequest{})
+	is.NoErr(err)
+	message := &apiv1.RaftMessage{To: identity.GetIncarnation(), SnapshotData: make([]byte, testBodyBytes)}
 	for range 10 {
 		_, err := m.peer.Step(t.Context(), &apiv1.StepRequest{ClusterId: "c", Messages: []*apiv1.RaftMessage{message}})
 		is.NoErr(err)
--- a/internal/replica/call_times.go
+++ b/internal/replica/call_times.go
@@ -22,8 +22,10 @@
 	mu          sync.Mutex
 	unanswered  []*openCall    // oldest first
 	respondedAt time.Time      // zero: never
+	failedAfter bool           // the latest call to end failed, and began after the last answered one
 	latest      []answeredCall // at most maxLatestCalls, by ascending begin
 	failure     string         // why the last finished call failed; empty: it succeeded
+	diskLost    bool           // another incarnation responded to the last finished call
 }
 
 // openCall is a call in progress.
@@ -54,12 +56,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unanswered = slices.DeleteFunc(c.unanswered, func(other *openCall) bool { return other == call })
+	c.diskLost = isOtherIncarnation(err)
 	if err != nil {
 		c.failure = err.Error()
+		c.failedAfter = len(c.latest) == 0 || call.begun.After(c.latest[len(c.latest)-1].begun)
 		return
 	}
 	c.record(answeredCall{call.begun, time.Now()})
-	c.respondedAt, c.failure = time.Now(), ""
+	c.respondedAt, c.failure, c.failedAfter = time.Now(), "", false
 }
 
 // cancelOldest cancels the oldest calls in progress while all of them hold more than the given number of bytes.
@@ -95,11 +99,12 @@
 }
 
 // typical returns how long calls take at present, the median of the latest ones. It returns false if none was answered
-// lately, or the oldest one in progress has waited for longer than patience and more than twice as long.
+// lately, if a later one failed, or the oldest one in progress has waited for longer than patience and more than twice as
+// long.
 func (c *callTimes) typical(now time.Time, patience time.Duration) (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Sub(c.respondedAt) > callTimesExpiry {
+	if c.failedAfter || now.Sub(c.respondedAt) > callTimesExpiry {
 		return 0, false
 	}
 	sorted := slices.SortedFunc(slices.Values(c.latest), func(a, b answeredCall) int { return cmp.Compare(a.took(), b.took()) })
@@ -116,12 +121,13 @@
 	waited        time.Duration // of the oldest call in progress
 	sinceResponse time.Duration // negative: no call was answered yet
 	failure       string        // why the last finished call failed; empty: it succeeded
+	diskLost      bool          // another incarnation responds at the member's address
 }
 
 func (c *callTimes) summary(now time.Time) callSummary {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	summary := callSummary{unanswered: len(c.unanswered), sinceResponse: -time.Millisecond, failure: c.failure}
+	summary := callSummary{unanswered: len(c.unanswered), sinceResponse: -time.Millisecond, failure: c.failure, diskLost: c.diskLost}
 	if len(c.unanswered) > 0 {
 		summary.waited = now.Sub(c.unanswered[0].begun)
 	}
--- a/internal/replica/leaderless.go
+++ b/internal/replica/leaderless.go
@@ -11,6 +11,9 @@
 // lines.
 const leaderlessLogInterval = 2 * time.Second
 
+// silentAfter is the time without a response after which a process is called silent in the log.
+const silentAfter = 2 * time.Second
+
 // leaderless is since when this member has known no leader.
 type leaderless struct {
 	since  time.Time // zero: it knows one
@@ -59,14 +62,26 @@
 
 // logVoter logs what is known of a voter during the search for a leader.
 func (r *Replica) logVoter(now time.Time, voter *apiv1.MemberInfo, votes map[uint64]bool) {
-	id, vote := voter.GetIncarnation(), "no response"
+	id, vote := voter.GetIncarnation(), "none"
 	if granted, responded := votes[id]; responded {
 		vote = map[bool]string{true: "granted", false: "refused"}[granted]
 	}
 	calls := r.transport.callsTo(id, now)
-	r.config.Logger.Info("voter during search for a leader", "voter", voter.GetName(), "vote", vote,
+	r.config.Logger.Info("no leader: voter", "voter", voter.GetName(), "vote", vote, "process", calls.process(),
 		"response_ms_ago", calls.sinceResponse.Milliseconds(), "unanswered", calls.unanswered, "waited_ms", calls.waited.Milliseconds(),
 		"error", calls.failure, "address", voter.GetAddress(), "incarnation", formatIncarnation(id))
 }
 
+// process describes the process at the member's address by the last calls to it.
+func (s callSummary) process() string {
+	switch {
+	case s.diskLost:
+		return "disk lost"
+	case s.sinceResponse < 0 || s.sinceResponse > silentAfter:
+		return "silent"
+	default:
+		return "up"
+	}
+}
+
 func formatIncarnation(incarnation uint64) string { return fmt.Sprintf("%x", incarnation) }
--- a/internal/replica/leadership_test.go
+++ b/internal/replica/leadership_test.go
@@ -77,7 +77,7 @@
 		text := log.String()
 		return strings.Contains(text, `msg="no leader" role=pre-candidate campaigns=0 voters=3 granted=1 refused=0`) &&
 			slices.ContainsFunc(strings.Split(text, "\n"), func(line string) bool {
-				return strings.Contains(line, `vote="no response"`) && !strings.Contains(line, `error=""`) &&
+				return strings.Contains(line, `vote=none`) && !strings.Contains(line, `error=""`) &&
 					strings.Contains(line, "address="+c.nodes[1].config.Address)
 			})
 	})
