control: logs and counts how many more lost disks the cluster bears

The leader compares the live voters that are caught up with the quorum (internal/control/tolerance, pure), five times a second: gauges control.tolerated_losses, .target and .reduced_ms (-1 on a process that doesn't lead), a line "tolerance reduced" (WARN) at each fall and every 5 s while it lasts, "tolerance full" (INFO) once it is over, with the numbers and the missing voters' names within the first 200 characters. ClusterStatus names the missing voters with the reason and since when; pistachioctl status counts voters, live voters and tolerated losses.

What costs a vote elsewhere is a WARN or ERROR that begins with what decides: a voter removed, on each process that learns of it; a voter that a leader leaves out; a learner without a vote for 3 s; an empty data folder; the file and reason of a damaged one; the error of a disk before the folder's path.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -24,7 +24,7 @@
 	}{
 		"cluster status":  {"cluster status", []string{"c-1", "vm-1", "192.0.2.11:7400", "00000000000000ff"}},
 		"cluster members": {"cluster members", []string{"vm-2", "voter"}},
-		"overview":        {"status", []string{"members reachable", "workers quarantined"}},
+		"overview":        {"status", []string{"members reachable", "disk losses tolerated", "voter missing", "vm-2: does not answer", "workers quarantined"}},
 		"jobs":            {"status jobs", []string{"plans", "batch", "larger than any worker"}},
 		"tasks":           {"status tasks", []string{"plans", "wide", "waiting"}},
 		"tasks of a job":  {"status tasks --job plans", []string{"plans", "waiting"}},
--- a/internal/command/status_overview.go
+++ b/internal/command/status_overview.go
@@ -13,16 +13,17 @@
 	ConfigurationRevision uint64 `json:"configuration_revision"`
 	Members               int    `json:"members"`
 	MembersReachable      int    `json:"members_reachable"`
-	Entries               int    `json:"entries"`
-	Endpoints             int    `json:"endpoints"`
-	Workers               int    `json:"workers"`
-	WorkersAlive          int    `json:"workers_alive"`
-	WorkersQuarantined    int    `json:"workers_quarantined"`
-	Jobs                  int    `json:"jobs"`
-	TasksRunning          int32  `json:"tasks_running"`
-	TasksWaiting          int32  `json:"tasks_waiting"`
-	TasksFailed           int32  `json:"tasks_failed"`
-	TasksUnknown          int32  `json:"tasks_unknown"`
+	votes
+	Entries            int   `json:"entries"`
+	Endpoints          int   `json:"endpoints"`
+	Workers            int   `json:"workers"`
+	WorkersAlive       int   `json:"workers_alive"`
+	WorkersQuarantined int   `json:"workers_quarantined"`
+	Jobs               int   `json:"jobs"`
+	TasksRunning       int32 `json:"tasks_running"`
+	TasksWaiting       int32 `json:"tasks_waiting"`
+	TasksFailed        int32 `json:"tasks_failed"`
+	TasksUnknown       int32 `json:"tasks_unknown"`
 }
 
 func (s *session) showOverview(ctx context.Context, client *rpc.Client) error {
@@ -56,6 +57,7 @@
 			o.MembersReachable++
 		}
 	}
+	o.votes = countVotes(status.GetMembers())
 	return nil
 }
 
@@ -111,6 +113,7 @@
 	t.add("configuration revision", o.ConfigurationRevision)
 	t.add("members", o.Members)
 	t.add("members reachable", o.MembersReachable)
+	o.addRows(t)
 	t.add("entries", o.Entries)
 	t.add("endpoints", o.Endpoints)
 	t.add("workers", o.Workers)
--- a/internal/control/bootstrap.go
+++ b/internal/control/bootstrap.go
@@ -71,12 +71,15 @@
 // configured with are gone.
 func (s *Server) RegisterAsSpare(ctx context.Context, client *rpc.Client, failureDomain string) {
 	hadLeader := true // at the previous check; an election is shorter than the time between two
+	var lostVote lostVoteLog
 	for {
 		hasLeader, wait := s.Log.Status().Leader != 0, spareRegistrationInterval
 		if !s.isVoter() || !hasLeader && !hadLeader {
 			if err := s.registerAsSpare(ctx, client, failureDomain); err != nil {
 				s.Logger.Info("spare registration failed", "addresses", client.Addresses(), "error", err)
 				wait = spareRetryInterval
+			} else if s.isVoter() {
+				lostVote.log(time.Now(), s.Logger, s.Log.Status())
 			}
 		}
 		hadLeader = hasLeader
--- a/internal/control/cluster_status.go
+++ b/internal/control/cluster_status.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/twitchtv/twirp"
@@ -27,6 +28,7 @@
 	status := s.Log.Status()
 	members := s.members()
 	s.probeMembers(ctx, members)
+	s.addMissing(members, time.Now())
 	return &apiv1.ClusterStatusResponse{
 		ClusterId:             status.ClusterID,
 		Term:                  status.Term,
@@ -99,6 +101,23 @@
 	calls.Wait()
 }
 
+// addMissing adds to the voters that the leader misses why and since when, unless they name a problem themselves. It has
+// no effect if this process doesn't lead.
+func (s *Server) addMissing(members []*apiv1.Member, now time.Time) {
+	assessment := s.tolerance.Load()
+	if assessment == nil {
+		return
+	}
+	for _, missing := range assessment.Missing {
+		for _, member := range members {
+			if member.GetIncarnation() == missing.Incarnation && member.GetProblem() == "" {
+				since := now.Add(-missing.For).UTC().Format(time.RFC3339)
+				member.Problem = missing.Reason.String() + " since " + since
+			}
+		}
+	}
+}
+
 // controlAddresses returns the addresses at which entries can reach control
 // processes: those of all members and all configured processes, sorted.
 func (s *Server) controlAddresses() []string {
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -69,6 +69,7 @@
 	l.runDuty("formation", l.recordFormation)
 	l.runDuty("expiry", l.expireLeases)
 	l.runDuty("repair", l.repairMembership)
+	l.runDuty("tolerance", l.watchTolerance)
 	if l.dispatch != nil {
 		l.duties.Go(l.runDispatch)
 	}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/twitchtv/twirp"
 
+	"github.com/pistachioport/pistachioport/internal/control/tolerance"
 	"github.com/pistachioport/pistachioport/internal/dispatch"
 	"github.com/pistachioport/pistachioport/internal/replica"
 	"github.com/pistachioport/pistachioport/internal/rpc"
@@ -27,6 +28,9 @@
 	spares          spares
 	submissions     *submissions
 	formingOperator atomic.Pointer[string] // operator who asked this process to form a cluster
+	memberLog       membershipLog
+	tolerance       atomic.Pointer[tolerance.Assessment] // nil while another process leads, or before the first assessment
+	toleranceGauges *toleranceGauges
 }
 
 // New returns a server. The caller serves its Handler and calls Run, without which
@@ -38,6 +42,7 @@
 	}
 	s := &Server{
 		Config: config, peers: newPeerClients(), submissions: newSubmissions(), reportOrder: dispatch.NewReportOrder(config.Metrics),
+		memberLog: membershipLog{logger: config.Logger}, toleranceGauges: newToleranceGauges(config.Metrics),
 	}
 	s.reports = &reportBatcher{send: s.sendReports, bounded: s.IsLarge}
 	return s, nil
@@ -49,7 +54,9 @@
 	defer s.peers.close()
 	for {
 		changed := s.Log.Changed()
-		s.reconcileLeadership(ctx, s.Log.Status())
+		status := s.Log.Status()
+		s.memberLog.observe(status)
+		s.reconcileLeadership(ctx, status)
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/internal/daemon/control_supervisor.go
+++ b/internal/daemon/control_supervisor.go
@@ -135,8 +135,7 @@
 
 func (s *controlSupervisor) recordFailure(err error) {
 	s.unavailable.Update(1)
-	s.logger.Error("data folder can't be used; this process neither acknowledges nor votes until it can",
-		"folder", s.folder, "error", err)
+	s.logger.Error("data folder can't be used; no votes until it can", "error", err, "folder", s.folder)
 }
 
 func (s *controlSupervisor) currentRole() *controlRole {
--- a/internal/daemon/platform_control.go
+++ b/internal/daemon/platform_control.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -87,6 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.logEmptyFolder(log.Status())
 	bounds := p.settings.Bounds
 	size, largePlan := connlimit.NewSize(p.connections), connlimit.LargeControlPlan(descriptorLimit(p.settings))
 	server, err := control.New(control.Config{
@@ -163,7 +166,8 @@
 	if !errors.As(err, &damage) {
 		return log, err
 	}
-	p.logger.Error("data folder damaged; renaming its files", "file", damage.Path, "offset", damage.Offset, "reason", damage.Reason)
+	p.logger.Error("data folder damaged; vote lost", "file", filepath.Base(damage.Path), "offset", damage.Offset, "reason", damage.Reason,
+		"folder", config.DataDir)
 	if err := storage.RenameDamagedFiles(nil, config.DataDir); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "rename the damaged files of the data folder"), storage.ErrUnavailable)
 	}
@@ -172,6 +176,15 @@
 	return replica.New(config)
 }
 
+// logEmptyFolder logs that the process starts without a vote although its cluster was formed before: it is a new spare, or
+// has lost its disk.
+func (p *platformProcess) logEmptyFolder(status replica.Status) {
+	if status.ClusterID == "" && !p.settings.Bootstrap {
+		p.logger.Warn("data folder empty; no vote: a lost disk or a new process", "incarnation", fmt.Sprintf("%x", status.Incarnation),
+			"folder", p.settings.DataDir)
+	}
+}
+
 // platformBackgroundTasks returns two tasks: one forms the cluster at the first
 // start; the other registers the process with the leader as a spare while it is no
 // voter.
