storage: what is found under a name survives the next loss of power

Callers would see: a voter that comes back without the entries and votes that it had acknowledged, as the same member, or that gives up its folder, and with it its vote, though no disk was lost.

Cause: a process that is killed between a rename and the folder's sync leaves the new name in the kernel's cache only.

Change: Open syncs the folder before it reads it.

TestSyncedContentSurvivesCrashes draws more now: processes that are killed at any operation, the loss of everything that was not synced, and each write and truncation since the last sync present, missing or torn on its own; the identity must stay.

Not covered: a process that is killed after a failed sync. The kernel may show its successor what was not written, and a later sync doesn't write it; the platform's rule has no such state.

--- a/internal/storage/crash_test.go
+++ b/internal/storage/crash_test.go
@@ -82,6 +82,7 @@
 
 	current            storeContent   // with unsynced changes
 	possibleAfterCrash []storeContent // if it crashed now
+	identity           Identity       // as it was when the store was opened before; zero: never
 }
 
 var errInjected = errors.New("injected failure")
@@ -115,6 +116,10 @@
 		ct.t.Fatalf("opening after a crash or failure: %v", err)
 	}
 	ct.store = store
+	if ct.identity != (Identity{}) && store.Identity() != ct.identity {
+		ct.t.Fatalf("identity %v after a crash or failure, %v before", store.Identity(), ct.identity)
+	}
+	ct.identity = store.Identity()
 	ct.checkRecovered(contentOfState(state))
 }
 
@@ -134,7 +139,12 @@
 
 // injectFailureLater makes one of the next operations of the file system, and all
 // after it, fail.
-func (ct *crashTest) injectFailureLater() {
+func (ct *crashTest) injectFailureLater() { ct.failLater(errInjected) }
+
+// killLater kills the process at one of the next operations of the file system.
+func (ct *crashTest) killLater() { ct.failLater(errKilled) }
+
+func (ct *crashTest) failLater(failure error) {
 	remaining := ct.drawBelow(6)
 	writtenBytes := ct.drawBelow(600)
 	ct.fs.injectFailure = func(string, string) (int, error) {
@@ -142,7 +152,7 @@
 			remaining--
 			return 0, nil
 		}
-		return writtenBytes, errInjected
+		return writtenBytes, failure
 	}
 }
 
@@ -151,12 +161,22 @@
 	ct.openStore()
 }
 
+// kill ends the process without a loss of power. What the next one finds is durable once it has opened the folder.
+func (ct *crashTest) kill() {
+	ct.fs.kill()
+	ct.openStore()
+}
+
 // succeededOrCrash reports whether err is nil. Otherwise it checks that the store
 // stays failed, and simulates a crash.
 func (ct *crashTest) succeededOrCrash(err error) bool {
 	if err == nil {
 		return true
 	}
+	if errors.Is(err, errKilled) {
+		ct.kill()
+		return false
+	}
 	if !errors.Is(err, errInjected) {
 		ct.t.Fatalf("unexpected error: %v", err)
 	}
@@ -273,7 +293,7 @@
 	operations := []func(*crashTest){
 		(*crashTest).append, (*crashTest).append, (*crashTest).append, (*crashTest).append,
 		(*crashTest).sync, (*crashTest).sync,
-		(*crashTest).saveSnapshot, (*crashTest).installSnapshot, (*crashTest).reopen, (*crashTest).crash, (*crashTest).injectFailureLater,
+		(*crashTest).saveSnapshot, (*crashTest).installSnapshot, (*crashTest).reopen, (*crashTest).crash, (*crashTest).kill, (*crashTest).killLater, (*crashTest).injectFailureLater,
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		ct := &crashTest{t: t, fs: newMemoryFileSystem(), possibleAfterCrash: []storeContent{{}}}
@@ -281,6 +301,7 @@
 		if err := ct.store.Form("cluster-a", ct.newSnapshot(1, 1)); err != nil {
 			t.Fatal(err)
 		}
+		ct.identity = ct.store.Identity()
 		ct.current = storeContent{}.withSnapshot(ct.newSnapshot(1, 1), false)
 		ct.possibleAfterCrash = []storeContent{ct.current}
 		for range ct.drawBelow(120) {
--- a/internal/storage/memory_test.go
+++ b/internal/storage/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"io/fs"
+	"maps"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -15,14 +16,29 @@
 type memoryFile struct {
 	data   []byte // as read
 	synced []byte // at the last sync
+	// unsynced are the writes and truncations since then, in their order.
+	unsynced []memoryChange
 	// dropped bounds the part of data that a failed sync left marked as clean: it can
 	// be read, but later syncs don't write it, as on Linux.
 	dropped struct{ from, to int }
 }
 
+// memoryChange is a write at the offset, or, if data is nil, a truncation to it.
+type memoryChange struct {
+	offset int
+	data   []byte
+}
+
+// write appends the data.
+func (f *memoryFile) write(data []byte) {
+	f.unsynced = append(f.unsynced, memoryChange{len(f.data), append([]byte{}, data...)})
+	f.data = append(f.data, data...)
+}
+
 // sync makes data durable, except the dropped part.
 func (f *memoryFile) sync() {
 	f.synced = slices.Clone(f.data)
+	f.unsynced = nil
 	clear(f.synced[min(f.dropped.from, len(f.synced)):min(f.dropped.to, len(f.synced))])
 }
 
@@ -33,6 +49,7 @@
 
 // truncate cuts the data; what is written there later is not dropped.
 func (f *memoryFile) truncate(size int) {
+	f.unsynced = append(f.unsynced, memoryChange{offset: size})
 	f.data = f.data[:size]
 	f.dropped.to = min(f.dropped.to, size)
 }
@@ -85,17 +102,26 @@
 	m.unsyncedNames = append(m.unsyncedNames, change)
 }
 
+// kill ends the process: what was written stays, also if it is not synced.
+func (m *memoryFileSystem) kill() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.injectFailure = nil
+	m.folderLocked = false
+}
+
 // crash discards what was not synced, and any injected failure. choose returns a
 // number from 0 to below its argument; it decides how much unsynced data and which
-// unsynced changes of names reached the disk nevertheless.
+// unsynced changes of names reached the disk nevertheless; at some crashes nothing did.
 func (m *memoryFileSystem) crash(choose func(int) int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.injectFailure = nil
 	m.folderLocked = false
+	allLost := choose(4) == 0
 	names := copyNames(m.durableNames)
 	for _, change := range m.unsyncedNames {
-		if choose(2) == 0 {
+		if allLost || choose(2) == 0 {
 			continue
 		}
 		for name, file := range change {
@@ -107,14 +133,56 @@
 		}
 	}
 	m.files = make(map[string]*memoryFile)
-	for name, file := range names {
-		data := dataAfterCrash(file, choose)
+	for _, name := range slices.Sorted(maps.Keys(names)) { // in an order that a seed reproduces
+		file := names[name]
+		data := slices.Clone(file.synced)
+		switch {
+		case allLost:
+		case choose(2) == 0:
+			data = dataAfterCrash(file, choose)
+		default:
+			data = file.tornChanges(choose)
+		}
 		m.files[name] = &memoryFile{data: data, synced: slices.Clone(data)}
 	}
 	m.durableNames = copyNames(m.files)
 	m.unsyncedNames = nil
 }
 
+// tornChanges returns the synced data after some of the unsynced changes. Each is there, missing or torn, whatever the others
+// are; what is missing between two writes is zeros.
+func (f *memoryFile) tornChanges(choose func(int) int) []byte {
+	data := slices.Clone(f.synced)
+	for _, change := range f.unsynced {
+		fate := choose(3)
+		if fate == 0 {
+			continue
+		}
+		if change.data == nil {
+			data = data[:min(len(data), change.offset)]
+			continue
+		}
+		written, offset := slices.Clone(change.data), change.offset
+		if fate == 1 && len(written) > 0 {
+			from := choose(len(written))
+			to := min(len(written), from+1+choose(tornPartBytes))
+			switch choose(3) {
+			case 0:
+				written = written[:from]
+			case 1:
+				written, offset = written[from:], offset+from
+			default:
+				clear(written[from:to])
+			}
+		}
+		if missing := offset + len(written) - len(data); missing > 0 {
+			data = append(data, make([]byte, missing)...)
+		}
+		copy(data[offset:], written)
+	}
+	return data
+}
+
 // dataAfterCrash returns the synced data and a chosen prefix of the rest, of which parts that begin and end at any byte
 // may be zeros or other bytes.
 func dataAfterCrash(file *memoryFile, choose func(int) int) []byte {
@@ -262,25 +330,29 @@
 	defer h.fs.mu.Unlock()
 	if err != nil {
 		written = min(written, len(data))
-		h.file.data = append(h.file.data, data[:written]...)
+		h.file.write(data[:written])
 		if errors.Is(err, errShortWrite) {
 			return written, nil // like a faulty file system
 		}
 		return written, err
 	}
-	h.file.data = append(h.file.data, data...)
+	h.file.write(data)
 	return len(data), nil
 }
 
+// errKilled, if injected, stands for the end of the process before the operation, or in the middle of a write.
+var errKilled = errors.New("killed")
+
 // errShortWrite, if injected, makes a write end early without an error.
 var errShortWrite = errors.New("short write")
 
 func (h *memoryHandle) Sync() error {
 	_, err := h.fs.lockAndInjectFailure("sync", h.path)
 	defer h.fs.mu.Unlock()
-	if err == nil {
+	switch {
+	case err == nil:
 		h.file.sync()
-	} else {
+	case !errors.Is(err, errKilled):
 		h.file.failSync()
 	}
 	return err
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -89,6 +89,11 @@
 // load deletes what unfinished operations left behind, and reads the identity,
 // the newest snapshot and the log.
 func (s *Store) load(options Options) (*State, error) {
+	// The process may have been killed between a rename and the folder's sync. Nothing may be built on a name that a loss of
+	// power can still take back.
+	if err := s.fs.SyncFolder(s.folder); err != nil {
+		return nil, errors.Wrapf(err, "syncing folder %q", s.folder)
+	}
 	if err := removeTemporaryFiles(s.fs, s.folder); err != nil {
 		return nil, err
 	}
