--- a/internal/control/membership_log.go
+++ b/internal/control/membership_log.go
@@ -9,8 +9,8 @@
 	"github.com/pistachioport/pistachioport/internal/replica"
 )
 
-// membershipLog logs the votes that end with a change of the membership, on each process that learns of it. It is only
-// used by Server.Run.
+// membershipLog logs the votes that end with a change of the membership, on each voter that learns of it. A process that
+// catches up reads old memberships, and logs none. It is only used by Server.Run.
 type membershipLog struct {
 	logger  *slog.Logger
 	cluster string
@@ -20,9 +20,9 @@
 // observe compares the voters with those that were observed before.
 func (m *membershipLog) observe(status replica.Status) {
 	voters := status.Membership.GetVoters()
-	if status.ClusterID == m.cluster && len(voters) > 0 {
+	if status.ClusterID == m.cluster && len(voters) > 0 && isListed(m.voters, status.Incarnation) {
 		for _, before := range m.voters {
-			if !slices.ContainsFunc(voters, func(v *apiv1.MemberInfo) bool { return v.GetIncarnation() == before.GetIncarnation() }) {
+			if !isListed(voters, before.GetIncarnation()) {
 				m.logRemoved(before, status)
 			}
 		}
@@ -30,6 +30,10 @@
 	m.cluster, m.voters = status.ClusterID, voters
 }
 
+func isListed(members []*apiv1.MemberInfo, incarnation uint64) bool {
+	return slices.ContainsFunc(members, func(m *apiv1.MemberInfo) bool { return m.GetIncarnation() == incarnation })
+}
+
 func (m *membershipLog) logRemoved(voter *apiv1.MemberInfo, status replica.Status) {
 	incarnation, voters := fmt.Sprintf("%x", voter.GetIncarnation()), len(status.Membership.GetVoters())
 	if voter.GetIncarnation() == status.Incarnation {
--- a/internal/control/membership_log_test.go
+++ b/internal/control/membership_log_test.go
@@ -42,6 +42,16 @@
 	}
 }
 
+func TestProcessThatCatchesUpLogsNoRemovedVotes(t *testing.T) {
+	is := is.New(t)
+	var log bytes.Buffer
+	m := membershipLog{logger: slog.New(slog.NewJSONHandler(&log, nil))}
+	for _, voters := range []int{5, 4, 5, 4} {
+		m.observe(replica.Status{ClusterID: "cluster", Incarnation: 9, Membership: testMembership(voters)})
+	}
+	is.Equal(log.Len(), 0)
+}
+
 func TestVoterThatALeaderLeavesOutIsLoggedOnceInAWhile(t *testing.T) {
 	is := is.New(t)
 	var log bytes.Buffer
