--- a/test/failure/soak_lapse_self_test.go
+++ b/test/failure/soak_lapse_self_test.go
@@ -12,18 +12,19 @@
 // acknowledged only if its worker's lease had lapsed in between.
 func TestEndIsTakenNoteOfUnlessTheLeaseLapsed(t *testing.T) {
 	const task, holdMs = "j.0.0.0", 1_000
-	for name, tc := range map[string]struct {
+	for _, tc := range []struct {
+		name     string
 		lapse    time.Duration // for which the lease has lapsed when the task starts again; negative: it is left of the lease
 		restarts bool
 		allowed  bool
 	}{
-		"the lease lapsed and the task started again": {500 * time.Millisecond, true, true},
-		"the lease lapsed":                                  {500 * time.Millisecond, false, true},
-		"the task started again under a lease":              {-500 * time.Millisecond, true, false},
-		"the task started again and the lease lapsed later": {-50 * time.Millisecond, true, false},
-		"neither": {-500 * time.Millisecond, false, true},
+		{"the lease lapsed and the task started again", 500 * time.Millisecond, true, true},
+		{"the lease lapsed", 500 * time.Millisecond, false, true},
+		{"the task started again under a lease", -500 * time.Millisecond, true, false},
+		{"the task started again and the lease lapsed later", -50 * time.Millisecond, true, false},
+		{"neither", -500 * time.Millisecond, false, true},
 	} {
-		t.Run(name, func(t *testing.T) {
+		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			c := newSoakChecker()
 			c.jobSubmitted("j", 1, false)
@@ -37,7 +38,7 @@
 			if tc.restarts {
 				c.taskStarted(soakRequest{Task: task, Run: 2}, "i-1", false)
 			}
-			if name == "the task started again and the lease lapsed later" {
+			if tc.name == "the task started again and the lease lapsed later" {
 				time.Sleep(100 * time.Millisecond)
 			}
 			w.extendLease(soakRequest{Deadline: 2 * holdMs})
