--- a/test/failure/core_soak_test.go
+++ b/test/failure/core_soak_test.go
@@ -177,6 +177,7 @@
 	cancel()
 	group.Wait()
 	t.Log(c.checker.summary())
+	t.Log(c.checker.cancelSummary())
 	c.logShares()
 	for _, violation := range c.checker.recordedViolations() {
 		t.Error(violation)
--- a/test/failure/deadly_task_test.go
+++ b/test/failure/deadly_task_test.go
@@ -68,6 +68,7 @@
 		cancel()
 		group.Wait()
 		t.Log(c.checker.summary())
+		t.Log(c.checker.cancelSummary())
 		t.Log(c.checker.deadlySummary())
 		t.Logf("%d starts beyond a capacity that had shrunk by leaders not in touch", c.excusedOverruns.Load())
 		for _, violation := range c.checker.recordedViolations() {
--- a/test/failure/soak_test.go
+++ b/test/failure/soak_test.go
@@ -73,6 +73,7 @@
 	cancel()
 	group.Wait()
 	t.Log(c.checker.summary())
+	t.Log(c.checker.cancelSummary())
 	t.Log(c.checker.deadlySummary())
 	t.Log(c.rebirthCounts.summary())
 	t.Logf("%d starts beyond a capacity that had shrunk by leaders not in touch", c.excusedOverruns.Load())
