test/failure: disks that lose what was not synced

The rig's loss of power tore the newest segment only and kept each record that had been written, so nothing checked that an acknowledgement waits for its sync, or that a name survives.

A loss of power leaves what the platform allows: what was synced; of the rest each write, truncation and name kept, lost or torn on its own; or nothing of it. In half of the cases the newest segment is torn behind that as before.

Also checked: the configuration is read after a fault before the next publication can hide that an acknowledged one was lost, and no control process gives up its data folder: the core's faults damage none.

TestCoreDiskFaultsInSeries adds disks that hang, refuse writes or are full, alone, while a process is killed or a lost disk is replaced, and losses of power while all syncs hang. A publication must go through meanwhile.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -13,6 +13,7 @@
 	"github.com/pistachioport/pistachioport/internal/connlimit"
 	"github.com/pistachioport/pistachioport/internal/logging"
 	"github.com/pistachioport/pistachioport/internal/metrics"
+	"github.com/pistachioport/pistachioport/internal/storage"
 	"github.com/pistachioport/pistachioport/platform"
 )
 
@@ -21,6 +22,7 @@
 type platformProcess struct {
 	settings *platform.Settings
 	client   *platform.Client
+	disk     storage.FileSystem // of the data folder
 	logger   *slog.Logger
 	registry gometrics.Registry
 	// connections bounds the process's connections by kind.
@@ -41,6 +43,11 @@
 // and then shuts it down. It returns an error if it can't read the settings or
 // listen on an address, or if the data folder fails.
 func RunOnPlatform(ctx context.Context) error {
+	return RunOnPlatformWithDisk(ctx, storage.Disk{})
+}
+
+// RunOnPlatformWithDisk is RunOnPlatform with the file system of the data folder.
+func RunOnPlatformWithDisk(ctx context.Context, disk storage.FileSystem) error {
 	path := os.Getenv(platform.SettingsPathEnv)
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
@@ -67,6 +74,7 @@
 		connections: connections,
 		budgets:     newMemoryBudgets(settings, logger.With("name", settings.Name), registry),
 		settings:    settings,
+		disk:        disk,
 		client: platform.NewClient(platform.ClientConfig{
 			PolicyService: settings.PolicyService, MaxPolls: connections.Holds,
 			MaxIdle: connections.IdleWorkers + connections.Policy, Metrics: registry,
--- a/internal/daemon/platform_control.go
+++ b/internal/daemon/platform_control.go
@@ -52,6 +52,7 @@
 	return newControlSupervisor(&controlSupervisor{
 		build:   p.buildControl,
 		folder:  p.settings.DataDir,
+		disk:    p.disk,
 		address: p.settings.ControlBindAddress(),
 		logger:  p.logger, registry: p.registry,
 		listen: func(address string, handler http.Handler) (*listener, error) {
@@ -70,6 +71,7 @@
 	})
 	address := p.settings.ControlAddress()
 	log, err := p.openReplica(replica.Config{
+		FileSystem:    p.disk,
 		DataDir:       p.settings.DataDir,
 		DurableEnd:    end,
 		Name:          p.settings.Name,
@@ -164,7 +166,7 @@
 		return log, err
 	}
 	p.logger.Error("data folder damaged; renaming its files", "file", damage.Path, "offset", damage.Offset, "reason", damage.Reason)
-	if err := storage.RenameDamagedFiles(nil, config.DataDir); err != nil {
+	if err := storage.RenameDamagedFiles(config.FileSystem, config.DataDir); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "rename the damaged files of the data folder"), storage.ErrUnavailable)
 	}
 	config.DurableEnd = nil      // of the renamed files
--- /dev/null
+++ b/test/failure/core_disk_faults_test.go
@@ -0,0 +1,87 @@
+package failure_test
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+)
+
+// diskBacklogTime bounds the time for which syncs hang before a loss of power.
+const diskBacklogTime = 2 * time.Second
+
+// coreDiskFaults impair disks, as many at a time as may be lost, or take the power while writes wait for their sync.
+var coreDiskFaults = []soakFault{
+	{"the syncs of as many disks hang as is tolerated", func(c *soakCell, r *rand.Rand) {
+		c.impairDisks(r, c.pickTolerated(r), diskHangs, func() {})
+	}},
+	{"as many disks refuse writes as is tolerated", func(c *soakCell, r *rand.Rand) {
+		c.impairDisks(r, c.pickTolerated(r), diskRefuses, func() {})
+	}},
+	{"as many disks are full as is tolerated", func(c *soakCell, r *rand.Rand) {
+		c.impairDisks(r, c.pickTolerated(r), diskIsFull, func() {})
+	}},
+	{"a process is killed while another disk is impaired", func(c *soakCell, r *rand.Rand) {
+		picked := c.pickTolerated(r)
+		c.impairDisks(r, picked[1:], drawImpairment(r), func() { c.killTogether(r, picked[:1], nil, coreStartSpread) })
+	}},
+	{"a lost disk is replaced while another is impaired", func(c *soakCell, r *rand.Rand) {
+		picked := c.pickTolerated(r)
+		c.impairDisks(r, picked[1:], drawImpairment(r), func() { c.killTogether(r, picked[:1], picked[:1], coreStartSpread) })
+	}},
+	{"all lose power while all syncs hang", func(c *soakCell, r *rand.Rand) {
+		c.losePowerWithBacklog(r, nil)
+	}},
+	{"all lose power while all syncs hang, and as many lose their disks as is tolerated", func(c *soakCell, r *rand.Rand) {
+		c.losePowerWithBacklog(r, c.pickTolerated(r))
+	}},
+}
+
+// coreDiskSeeds are the seeds that run in CI.
+var coreDiskSeeds = []int64{1}
+
+// TestCoreDiskFaultsInSeries is TestCoreFaultsInSeries with the faults of disks.
+func TestCoreDiskFaultsInSeries(t *testing.T) {
+	for _, seed := range chosenCoreSeeds(coreDiskSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { soakCore(t, seed, coreDiskFaults) })
+	}
+}
+
+func drawImpairment(r *rand.Rand) diskImpairment {
+	return pickOne(r, []diskImpairment{diskHangs, diskRefuses, diskIsFull})
+}
+
+// impairDisks impairs the processes' disks, runs the further fault, and mends the disks once a publication went through, or
+// should have, and a drawn time has passed.
+func (c *soakCell) impairDisks(r *rand.Rand, impaired []*soakProcess, impairment diskImpairment, further func()) {
+	for _, p := range impaired {
+		p.faultLock.Lock()
+		defer p.faultLock.Unlock()
+		p.beginFault()
+		p.impairDisk(impairment)
+	}
+	further()
+	duration := randomDuration(r, 0, soakMaxFaultTime)
+	if !holdsWithin(coreRecoveryBound, c.publishNext) {
+		c.checker.recordViolation("no publication goes through within %v while %d disks are impaired: %s", coreRecoveryBound, len(impaired), impairment)
+	}
+	c.wait(duration)
+	for _, p := range impaired {
+		p.impairDisk(diskWorks)
+		p.endFault()
+	}
+}
+
+// losePowerWithBacklog takes the power from everything while no sync returns, so that writes wait for theirs.
+func (c *soakCell) losePowerWithBacklog(r *rand.Rand, wiped []*soakProcess) {
+	for _, p := range c.control {
+		p.impairDisk(diskHangs)
+	}
+	c.wait(randomDuration(r, 0, diskBacklogTime))
+	c.outage(r, c.daemons(), wiped, func(p *soakProcess, r *rand.Rand) {
+		if p.servesControl() {
+			p.impairDisk(diskWorks)
+		}
+		loseUnsyncedWrites(p, r)
+	}, coreDarkTime)
+}
--- a/test/failure/core_power_test.go
+++ b/test/failure/core_power_test.go
@@ -18,13 +18,22 @@
 	walMaxCopiedRecords = 6 // of which the torn write that is left behind consists
 )
 
-// loseUnsyncedWrites leaves the newest segment of the log as a loss of power may leave it. The records that can be read are
-// kept: the process may have synced the last of them and acknowledged them before it wrote the mark. Only a mark at the end,
-// which nothing waits for, may be lost, and behind it may be any part of a write that had not been synced.
+// loseUnsyncedWrites leaves the data folder as a loss of power may leave it. On a recordedDisk everything that was not synced
+// may be lost; then, in half of the cases, a write that was on its way is left behind in the newest segment.
 func loseUnsyncedWrites(p *soakProcess, r *rand.Rand) {
 	if !p.servesControl() {
 		return
 	}
+	if p.loseRecordedPower(r) && r.Intn(2) == 0 {
+		return
+	}
+	tearNewestSegment(p, r)
+}
+
+// tearNewestSegment leaves the newest segment of the log as a loss of power may leave it. The records that can be read are
+// kept: the process may have synced the last of them and acknowledged them before it wrote the mark. Only a mark at the end,
+// which nothing waits for, may be lost, and behind it may be any part of a write that had not been synced.
+func tearNewestSegment(p *soakProcess, r *rand.Rand) {
 	path := newestLog(p)
 	if path == "" {
 		return
--- a/test/failure/core_soak_test.go
+++ b/test/failure/core_soak_test.go
@@ -101,22 +101,29 @@
 // is over for as long as the core may take to catch up. A publication must go through after each, and all
 // accepted jobs must be finished after the last.
 func TestCoreFaultsInSeries(t *testing.T) {
-	seeds := coreSeeds
-	if *coreSeed != 0 {
-		seeds = nil
-		for i := range int64(*coreSeedCount) {
-			seeds = append(seeds, *coreSeed+i)
-		}
+	for _, seed := range chosenCoreSeeds(coreSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { soakCore(t, seed, coreFaults) })
+	}
+}
+
+// chosenCoreSeeds returns the seeds that the flags name, or the fixed ones.
+func chosenCoreSeeds(fixed []int64) []int64 {
+	if *coreSeed == 0 {
+		return fixed
 	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { soakCore(t, seed) })
+	var seeds []int64
+	for i := range int64(*coreSeedCount) {
+		seeds = append(seeds, *coreSeed+i)
 	}
+	return seeds
 }
 
-func soakCore(t *testing.T, seed int64) {
+// soakCore exposes a core to the faults, as drawn from the seed.
+func soakCore(t *testing.T, seed int64, drawn []soakFault) {
 	c := newSizedSoakCell(t, seed, soakSize{
 		controls: coreControls, entries: *coreEntries, workers: *coreWorkers, tolerated: coreTolerated,
 		linkDelay: *coreLinkDelay, controlShare: *coreControlShare, entryShare: *coreEntryShare,
+		recordsDisks: true,
 	}, 0)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -134,6 +141,7 @@
 		c.checker.versionAcknowledged(version)
 		return true
 	}
+	c.publishNext = publishes
 	await(t, "the cell to form and to serve a configuration", publishes)
 	time.Sleep(coreCatchUpBound)
 	callerCtx, stopCallers := context.WithCancel(ctx)
@@ -142,7 +150,7 @@
 		callers.Go(func() { c.runCaller(callerCtx, seed*1000+i) })
 	}
 	random := rand.New(rand.NewSource(seed))
-	faults := chosenCoreFaults(t)
+	faults := chosenCoreFaults(t, drawn)
 	led := true // there is a leader again after each fault
 	for range *coreRounds {
 		fault := pickOne(random, faults)
@@ -151,9 +159,10 @@
 		fault.inject(c, random)
 		calm := time.Now()
 		waitForReturned := c.callersComeBack(random, *coreReturning)
-		if !holdsWithin(coreRecoveryBound, publishes) {
+		recovers := c.readsThenPublishes(client, publishes)
+		if !holdsWithin(coreRecoveryBound, recovers) {
 			c.checker.recordViolation("no publication goes through within %v after: %s", coreRecoveryBound, fault.name)
-			led = holdsWithin(soakRecoveryBound, publishes)
+			led = holdsWithin(soakRecoveryBound, recovers)
 		}
 		if !led {
 			c.checker.recordViolation("nor within %v more", soakRecoveryBound)
@@ -178,6 +187,7 @@
 	group.Wait()
 	t.Log(c.checker.summary())
 	c.logShares()
+	c.checkDisksKept()
 	for _, violation := range c.checker.recordedViolations() {
 		t.Error(violation)
 	}
@@ -237,14 +247,14 @@
 	}
 }
 
-// chosenCoreFaults returns the faults that the flag core.fault names.
-func chosenCoreFaults(t testing.TB) []soakFault {
+// chosenCoreFaults returns the faults of the list that the flag core.fault names.
+func chosenCoreFaults(t testing.TB, list []soakFault) []soakFault {
 	t.Helper()
 	names, err := regexp.Compile(*coreFaultName)
 	if err != nil {
 		t.Fatal(err)
 	}
-	chosen := slices.DeleteFunc(slices.Clone(coreFaults), func(f soakFault) bool { return !names.MatchString(f.name) })
+	chosen := slices.DeleteFunc(slices.Clone(list), func(f soakFault) bool { return !names.MatchString(f.name) })
 	if len(chosen) == 0 {
 		t.Fatalf("no fault matches %q", *coreFaultName)
 	}
--- a/test/failure/main_test.go
+++ b/test/failure/main_test.go
@@ -12,6 +12,9 @@
 var daemonPath string
 
 func TestMain(m *testing.M) {
+	if os.Getenv(recordedDiskEnv) != "" {
+		os.Exit(runRecordedDaemon())
+	}
 	os.Exit(buildAndRun(m))
 }
 
--- a/test/failure/soak_cell_test.go
+++ b/test/failure/soak_cell_test.go
@@ -35,6 +35,7 @@
 	tolerated                  int           // control processes that may be lost at a time
 	linkDelay                  time.Duration // of the links between daemons, in each direction
 	controlShare, entryShare   float64       // of a core that each process may use; 0: any
+	recordsDisks               bool          // the data folders are on recordedDisks
 }
 
 const soakControlCount = 3 // of the usual cell
@@ -70,6 +71,7 @@
 	// excusedOverruns counts starts beyond a capacity that has shrunk, by a leader that was
 	// not in touch.
 	excusedOverruns atomic.Int64
+	publishNext     func() bool // publishes the next version, and reports whether it was acknowledged; nil: nothing publishes
 
 	seeds   []int // indexes of the control processes that new settings files name
 	control []*soakProcess
@@ -170,6 +172,7 @@
 	port := soakFirstPort // of the internal service; an entry's is the second one
 	if role == "control" {
 		p.dataDir = filepath.Join(c.dir, name+"-data")
+		p.recordsDisk = c.size.recordsDisks
 	} else {
 		port++
 	}
--- a/test/failure/soak_process_test.go
+++ b/test/failure/soak_process_test.go
@@ -23,6 +23,7 @@
 	advertisedIP string // the relay listens there
 	listenIP     string // the process listens there
 	dataDir      string // empty: none
+	recordsDisk  bool   // the data folder is on a recordedDisk
 	link         *relay.Relay
 	settings     func(bootstrap bool) string
 	descriptors  int // limit that the kernel enforces; 0: none
@@ -65,8 +66,7 @@
 		p.t.Error(err)
 		return
 	}
-	command := exec.Command(daemonPath, "platform")
-	command.Env = append(os.Environ(), "PISTACHIOPORT_SETTINGS="+p.config)
+	command := p.newCommand()
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = killWithParent()
 	p.mu.Lock()
@@ -98,6 +98,19 @@
 	}()
 }
 
+// newCommand returns the daemon's command.
+func (p *soakProcess) newCommand() *exec.Cmd {
+	settings := "PISTACHIOPORT_SETTINGS=" + p.config
+	if !p.recordsDisk {
+		command := exec.Command(daemonPath, "platform")
+		command.Env = append(os.Environ(), settings)
+		return command
+	}
+	command := exec.Command(recordedDaemonPath(p.t), "platform")
+	command.Env = append(os.Environ(), settings, recordedDiskEnv+"=1")
+	return command
+}
+
 // killAndWait kills the process and waits for its end. It stays down until
 // writeSettingsAndStart.
 func (p *soakProcess) killAndWait() {
--- a/test/failure/soak_traffic_test.go
+++ b/test/failure/soak_traffic_test.go
@@ -182,8 +182,9 @@
 	return false
 }
 
-// readVersion checks the version of the configuration at every control process.
-func (c *soakCell) readVersion(client *http.Client) {
+// readVersion checks the version of the configuration at every control process. It reports whether one served it.
+func (c *soakCell) readVersion(client *http.Client) bool {
+	served := false
 	for _, address := range c.controlAddresses() {
 		before := c.checker.newestAckedVersion()
 		response, err := client.Get("http://" + address + "/api/config")
@@ -197,6 +198,8 @@
 		_ = response.Body.Close()
 		if response.StatusCode == http.StatusOK && err == nil {
 			c.checker.versionRead(catalog.Version, before)
+			served = true
 		}
 	}
+	return served
 }
