--- a/test/failure/core_disk_test.go
+++ b/test/failure/core_disk_test.go
@@ -20,10 +20,17 @@
 // damageLine is what a control process logs when it gives up its data folder, and with it its vote.
 const damageLine = "data folder damaged"
 
-// checkDisksKept checks that no control process gave up a data folder: the core's faults lose disks and what was not synced,
-// and damage none.
+// checkDisksKept checks that no control process gave up a data folder, and that each kept its incarnation on it: the core's
+// faults lose disks and what was not synced, and damage none.
 func (c *soakCell) checkDisksKept() {
 	for _, p := range slices.Concat(c.lostVMs, c.control) {
+		incarnations, err := journalIncarnations(p.dataDir + diskJournalSuffix)
+		if err != nil {
+			c.t.Error(err)
+		}
+		if len(incarnations) > 1 {
+			c.checker.recordViolation("%s had the incarnations %x on one disk", p.name, incarnations)
+		}
 		log, err := os.ReadFile(p.logPath)
 		if err != nil {
 			c.t.Error(err)
--- a/test/failure/disk_process_test.go
+++ b/test/failure/disk_process_test.go
@@ -22,7 +22,9 @@
 func runRecordedDaemon() int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	run := func(ctx context.Context) error { return daemon.RunOnPlatformWithDisk(ctx, &recordedDisk{}) }
+	run := func(ctx context.Context) error {
+		return daemon.RunOnPlatformWithDisk(ctx, &recordedDisk{syncTime: diskSyncTime})
+	}
 	return command.Execute(ctx, os.Stdout, os.Stderr, os.Args[1:], daemon.Run, run)
 }
 
@@ -60,7 +62,11 @@
 	}
 	contents, names := m.unsyncedChanges()
 	p.t.Logf("%s loses power with %d writes and %d names that are not synced", p.name, contents, names)
-	if err := replaceDisk(p.dataDir, m.losePower(r)); err != nil {
+	left := m.losePower(r)
+	if _, kept := left[diskIdentityName]; !kept && m.hasLog() {
+		p.t.Errorf("%s: the identity %x was used before it was durable", p.name, m.incarnation())
+	}
+	if err := replaceDisk(p.dataDir, left); err != nil {
 		p.t.Error(err)
 	}
 	return true
@@ -80,10 +86,11 @@
 		if err := os.WriteFile(filepath.Join(folder, name), data, 0o600); err != nil {
 			return err
 		}
-		changes += 3
 		journal = diskChange{kind: diskCreate, name: name, file: id}.append(journal)
 		journal = diskChange{kind: diskWrite, file: id, data: data}.append(journal)
+		changes += 2
 		journal = diskChange{kind: diskSync, file: id, at: changes}.append(journal)
+		changes++
 		id++
 	}
 	return os.WriteFile(folder+diskJournalSuffix, journal, 0o600)
--- a/test/failure/disk_recorder_test.go
+++ b/test/failure/disk_recorder_test.go
@@ -16,6 +16,7 @@
 // the process: changes are recorded before they are made, syncs once they are completed.
 type recordedDisk struct {
 	storage.Disk
+	syncTime time.Duration
 
 	mu      sync.Mutex // held during changes, not during syncs
 	folder  string
@@ -217,13 +218,13 @@
 	return d.sync(diskChange{kind: diskSyncFolder})
 }
 
-// sync records that the sync covers the changes that had been made when it began. It takes diskSyncTime; the machine's disk,
+// sync records that the sync covers the changes that had been made when it began. The machine's disk,
 // which many cells share, is not synced.
 func (d *recordedDisk) sync(c diskChange) error {
 	d.mu.Lock()
 	c.at = d.changes
 	d.mu.Unlock()
-	time.Sleep(diskSyncTime)
+	time.Sleep(d.syncTime)
 	d.awaitSyncs()
 	if err := d.impairment().refusal(false); err != nil {
 		return err
