test/failure: names that wait for their sync while processes are killed

All processes are killed while no sync of a folder returns, and the next ones lose power: what they found under names that were not durable must be durable by then.

--- a/test/failure/core_disk_faults_test.go
+++ b/test/failure/core_disk_faults_test.go
@@ -35,10 +35,14 @@
 	{"all lose power while all syncs hang, and as many lose their disks as is tolerated", func(c *soakCell, r *rand.Rand) {
 		c.losePowerWithBacklog(r, c.pickTolerated(r))
 	}},
+	{"all are killed while names wait for their sync, and lose power", func(c *soakCell, r *rand.Rand) {
+		c.losePowerAfterUnsyncedNames(r, c.pickTolerated(r))
+	}},
 }
 
-// coreDiskSeeds are the seeds that run in CI.
-var coreDiskSeeds = []int64{1}
+// coreDiskSeeds are the seeds that run in CI. The first begins with a loss of power of everything while syncs hang and as many
+// disks are lost as is tolerated, the second with names that wait for their sync.
+var coreDiskSeeds = []int64{81, 84}
 
 // TestCoreDiskFaultsInSeries is TestCoreFaultsInSeries with the faults of disks.
 func TestCoreDiskFaultsInSeries(t *testing.T) {
@@ -85,3 +89,16 @@
 		loseUnsyncedWrites(p, r)
 	}, coreDarkTime)
 }
+
+// losePowerAfterUnsyncedNames kills everything while no sync of a folder returns, so that the next processes find names that
+// are not durable, and takes the power from these. The wiped ones create their identities meanwhile.
+func (c *soakCell) losePowerAfterUnsyncedNames(r *rand.Rand, wiped []*soakProcess) {
+	for _, p := range c.control {
+		p.impairDisk(namesHang)
+	}
+	c.killTogether(r, wiped, wiped, coreStartSpread)
+	c.wait(randomDuration(r, 0, diskBacklogTime))
+	c.outage(r, c.control, nil, func(p *soakProcess, _ *rand.Rand) { p.impairDisk(diskWorks) }, coreStartSpread)
+	c.wait(randomDuration(r, 0, diskBacklogTime))
+	c.outage(r, c.daemons(), nil, loseUnsyncedWrites, coreDarkTime)
+}
--- a/test/failure/disk_impairment_test.go
+++ b/test/failure/disk_impairment_test.go
@@ -14,6 +14,7 @@
 const (
 	diskWorks   diskImpairment = ""
 	diskHangs   diskImpairment = "hangs"   // no sync returns
+	namesHang   diskImpairment = "names"   // no sync of a folder returns
 	diskRefuses diskImpairment = "refuses" // changes and syncs fail
 	diskIsFull  diskImpairment = "full"    // writes and new files fail
 )
@@ -49,9 +50,13 @@
 	return diskImpairment(text)
 }
 
-// awaitSyncs returns once the disk doesn't hang.
-func (d *recordedDisk) awaitSyncs() {
-	for d.impairment() == diskHangs {
+// awaitSyncs returns once the disk doesn't hang at syncs of the kind.
+func (d *recordedDisk) awaitSyncs(kind diskChangeKind) {
+	for {
+		impairment := d.impairment()
+		if impairment != diskHangs && (impairment != namesHang || kind != diskSyncFolder) {
+			return
+		}
 		time.Sleep(diskImpairmentPolling)
 	}
 }
--- a/test/failure/disk_recorder_test.go
+++ b/test/failure/disk_recorder_test.go
@@ -225,7 +225,7 @@
 	c.at = d.changes
 	d.mu.Unlock()
 	time.Sleep(d.syncTime)
-	d.awaitSyncs()
+	d.awaitSyncs(c.kind)
 	if err := d.impairment().refusal(false); err != nil {
 		return err
 	}
