--- a/internal/daemon/platform_control.go
+++ b/internal/daemon/platform_control.go
@@ -54,6 +54,7 @@
 	return newControlSupervisor(&controlSupervisor{
 		build:   p.buildControl,
 		folder:  p.settings.DataDir,
+		disk:    p.disk,
 		address: p.settings.ControlBindAddress(),
 		logger:  p.logger, registry: p.registry,
 		listen: func(address string, handler http.Handler) (*listener, error) {
@@ -72,6 +73,7 @@
 	})
 	address := p.settings.ControlAddress()
 	log, err := p.openReplica(replica.Config{
+		FileSystem:    p.disk,
 		DataDir:       p.settings.DataDir,
 		DurableEnd:    end,
 		Name:          p.settings.Name,
@@ -168,7 +170,7 @@
 	}
 	p.logger.Error("data folder damaged; vote lost", "file", filepath.Base(damage.Path), "offset", damage.Offset, "reason", damage.Reason,
 		"folder", config.DataDir)
-	if err := storage.RenameDamagedFiles(nil, config.DataDir); err != nil {
+	if err := storage.RenameDamagedFiles(config.FileSystem, config.DataDir); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "rename the damaged files of the data folder"), storage.ErrUnavailable)
 	}
 	config.DurableEnd = nil      // of the renamed files
