fake/relay: silent addresses, faults by source, bandwidth

The rig's addresses without power refused connections, its links had no bandwidth, and a cut hit all callers of a process.

A fault can be Silent: connections are accepted, what arrives is dropped, and nothing is dialed, until the fault is over. SetFaults gives each source of connections its own fault, named by Identify. BytesPerSecond is shared by the connections of a relay. Dropped bytes are no longer delayed.

--- a/internal/fake/relay/link.go
+++ b/internal/fake/relay/link.go
@@ -18,16 +18,18 @@
 
 // link is one relayed connection: the connection of a client and that to the target.
 type link struct {
+	source string // that dialed the relay
 	client net.Conn
 	target net.Conn
+	pacers *[2]pacer // of the relay, by direction
 
 	mu         sync.Mutex
 	fault      Fault
 	blackholed bool
 }
 
-func newLink(client, target net.Conn) *link {
-	return &link{client: client, target: target}
+func newLink(source string, client, target net.Conn, pacers *[2]pacer) *link {
+	return &link{source: source, client: client, target: target, pacers: pacers}
 }
 
 func (l *link) setFault(fault Fault) {
@@ -53,15 +55,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if d == toTarget {
-		return l.blackholed || l.fault.DropToTarget
+		return l.blackholed || l.fault.Silent || l.fault.DropToTarget
 	}
-	return l.blackholed || l.fault.DropToClient
+	return l.blackholed || l.fault.Silent || l.fault.DropToClient
 }
 
-func (l *link) delay() time.Duration {
+// delay returns the time for which the bytes are held before they are forwarded.
+func (l *link) delay(d direction, bytes int) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.fault.Delay
+	return l.fault.Delay + l.pacers[d].reserve(time.Now(), bytes, l.fault.BytesPerSecond)
 }
 
 // run copies data in both directions until both have ended, and then closes both
@@ -85,8 +88,8 @@
 		if n > 0 {
 			recordTraffic(d, n, dropped)
 		}
-		if wait := l.delay(); n > 0 && wait > 0 {
-			time.Sleep(wait)
+		if n > 0 && !dropped {
+			time.Sleep(l.delay(d, n))
 		}
 		if n > 0 && !dropped {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
--- a/internal/fake/relay/relay.go
+++ b/internal/fake/relay/relay.go
@@ -15,11 +15,14 @@
 	target  string
 	address string // at which it listens
 	group   errgroup.Group
+	pacers  [2]pacer // by direction
 
 	mu       sync.Mutex
 	listener net.Listener
-	fault    Fault
-	links    map[*link]bool // open connections
+	identify func(client net.Addr) string
+	faultOf  func(source string) Fault
+	links    map[*link]bool      // open connections
+	held     map[net.Conn]string // connections without a response, and their sources
 	traffic  Traffic
 	closing  bool
 }
@@ -42,7 +45,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for relay")
 	}
-	r := &Relay{target: target, address: listener.Addr().String(), links: map[*link]bool{}}
+	r := &Relay{target: target, address: listener.Addr().String(), links: map[*link]bool{}, held: map[net.Conn]string{}}
+	r.identify, r.faultOf = func(net.Addr) string { return "" }, func(string) Fault { return Fault{} }
 	r.serve(ctx, listener)
 	return r, nil
 }
@@ -83,14 +87,30 @@
 	return nil
 }
 
+// Identify sets the function that returns the name of the source of a connection, by the client's address. It is called
+// once for each connection, before any data is forwarded.
+func (r *Relay) Identify(identify func(client net.Addr) string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.identify = identify
+}
+
 // SetFault replaces the fault on all open and new connections. Connections
 // blackholed by BlackholeOpen stay blackholed.
-func (r *Relay) SetFault(fault Fault) {
+func (r *Relay) SetFault(fault Fault) { r.SetFaults(func(string) Fault { return fault }) }
+
+// SetFaults is SetFault with a fault for each source of connections, which must not call the relay.
+func (r *Relay) SetFaults(faultOf func(source string) Fault) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.fault = fault
+	r.faultOf = faultOf
 	for l := range r.links {
-		l.setFault(fault)
+		l.setFault(faultOf(l.source))
+	}
+	for client, source := range r.held {
+		if !faultOf(source).Silent {
+			_ = client.Close()
+		}
 	}
 }
 
@@ -111,6 +131,9 @@
 	for l := range r.links {
 		l.close()
 	}
+	for client := range r.held {
+		_ = client.Close()
+	}
 }
 
 // OpenConnections returns the number of open connections.
@@ -153,14 +176,19 @@
 // relayConnection relays one client's connection until both directions have ended.
 func (r *Relay) relayConnection(ctx context.Context, client net.Conn) {
 	defer func() { _ = client.Close() }()
-	if r.refusesNew() {
+	source := r.sourceOf(client)
+	if r.hold(client, source) {
+		r.discard(client)
+		return
+	}
+	if r.refusesNew(source) {
 		return
 	}
 	target, err := (&net.Dialer{}).DialContext(ctx, "tcp", r.target)
 	if err != nil {
 		return
 	}
-	l := newLink(client, target)
+	l := newLink(source, client, target, &r.pacers)
 	if !r.register(l) {
 		l.close()
 		return
@@ -169,10 +197,43 @@
 	l.run(r.recordTraffic)
 }
 
-func (r *Relay) refusesNew() bool {
+func (r *Relay) sourceOf(client net.Conn) string {
+	r.mu.Lock()
+	identify := r.identify
+	r.mu.Unlock()
+	return identify(client.RemoteAddr())
+}
+
+func (r *Relay) refusesNew(source string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.faultOf(source).RefuseNew || r.closing
+}
+
+// hold adds a connection that gets no response; it reports false if the source's connections are forwarded.
+func (r *Relay) hold(client net.Conn, source string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closing || !r.faultOf(source).Silent {
+		return false
+	}
+	r.held[client] = source
+	return true
+}
+
+// discard reads from a held connection until it is closed.
+func (r *Relay) discard(client net.Conn) {
+	buffer := make([]byte, bufferSize)
+	for {
+		n, err := client.Read(buffer)
+		r.recordTraffic(toTarget, n, true)
+		if err != nil {
+			break
+		}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.fault.RefuseNew || r.closing
+	delete(r.held, client)
 }
 
 // register adds an open connection; it reports false if the relay is closing.
@@ -182,7 +243,7 @@
 	if r.closing {
 		return false
 	}
-	l.setFault(r.fault)
+	l.setFault(r.faultOf(l.source))
 	r.links[l] = true
 	return true
 }
