--- a/internal/fake/relay/fault.go
+++ b/internal/fake/relay/fault.go
@@ -12,6 +12,6 @@
 	Silent bool
 	// Delay is added before each chunk of data is forwarded, in both directions.
 	Delay time.Duration
-	// BytesPerSecond limits the data forwarded in each direction, on all connections with a limit together; 0: no limit.
+	// BytesPerSecond limits the data forwarded in each direction, on all connections of a source together; 0: no limit.
 	BytesPerSecond int64
 }
--- a/internal/fake/relay/link.go
+++ b/internal/fake/relay/link.go
@@ -21,15 +21,15 @@
 	source string // that dialed the relay
 	client net.Conn
 	target net.Conn
-	pacers *[2]pacer // of the relay, by direction
+	pacers *[2]pacer // of the source, by direction
 
 	mu         sync.Mutex
 	fault      Fault
 	blackholed bool
 }
 
-func newLink(source string, client, target net.Conn, pacers *[2]pacer) *link {
-	return &link{source: source, client: client, target: target, pacers: pacers}
+func newLink(source string, client, target net.Conn) *link {
+	return &link{source: source, client: client, target: target}
 }
 
 func (l *link) setFault(fault Fault) {
--- a/internal/fake/relay/relay.go
+++ b/internal/fake/relay/relay.go
@@ -15,14 +15,14 @@
 	target  string
 	address string // at which it listens
 	group   errgroup.Group
-	pacers  [2]pacer // by direction
 
 	mu       sync.Mutex
 	listener net.Listener
 	identify func(client net.Addr) string
 	faultOf  func(source string) Fault
-	links    map[*link]bool      // open connections
-	held     map[net.Conn]string // connections without a response, and their sources
+	links    map[*link]bool       // open connections
+	held     map[net.Conn]string  // connections without a response, and their sources
+	pacers   map[string]*[2]pacer // by source, then by direction
 	traffic  Traffic
 	closing  bool
 }
@@ -45,7 +45,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for relay")
 	}
-	r := &Relay{target: target, address: listener.Addr().String(), links: map[*link]bool{}, held: map[net.Conn]string{}}
+	r := &Relay{target: target, address: listener.Addr().String(), links: map[*link]bool{}, held: map[net.Conn]string{}, pacers: map[string]*[2]pacer{}}
 	r.identify, r.faultOf = func(net.Addr) string { return "" }, func(string) Fault { return Fault{} }
 	r.serve(ctx, listener)
 	return r, nil
@@ -188,7 +188,7 @@
 	if err != nil {
 		return
 	}
-	l := newLink(source, client, target, &r.pacers)
+	l := newLink(source, client, target)
 	if !r.register(l) {
 		l.close()
 		return
@@ -244,6 +244,10 @@
 		return false
 	}
 	l.setFault(r.faultOf(l.source))
+	if r.pacers[l.source] == nil {
+		r.pacers[l.source] = new([2]pacer)
+	}
+	l.pacers = r.pacers[l.source]
 	r.links[l] = true
 	return true
 }
--- a/test/failure/replaced_vm_test.go
+++ b/test/failure/replaced_vm_test.go
@@ -63,8 +63,7 @@
 	gone.killAndWait()
 	time.Sleep(successorDelay)
 	p := c.newProcess("control", successor)
-	c.lostVMs = append(c.lostVMs, gone)
-	c.control[lost] = p
+	c.replaceMember(gone, p)
 	p.writeSettingsAndStart(false)
 	if lost < len(c.seeds) {
 		c.seeds[lost] = successor
--- a/test/failure/soak_cell_test.go
+++ b/test/failure/soak_cell_test.go
@@ -73,9 +73,11 @@
 
 	seeds   []int // indexes of the control processes that new settings files name
 	control []*soakProcess
-	lostVMs []*soakProcess // control processes whose VMs were taken away for good
+	lostVMs []*soakProcess // processes whose VMs were taken away for good
 	entries []*soakProcess
 	workers []*soakWorker
+
+	membersLock sync.RWMutex // guards the elements of control and entries
 }
 
 const soakFirstPort = 21_700 // the same on all addresses
@@ -96,6 +98,14 @@
 
 // newSizedSoakCell is newLimitedSoakCell for a cell of any size.
 func newSizedSoakCell(t testing.TB, seed int64, size soakSize, descriptors int) *soakCell {
+	t.Helper()
+	c := newUnstartedSoakCell(t, seed, size, descriptors)
+	c.startDaemons()
+	return c
+}
+
+// newUnstartedSoakCell returns a cell whose workers run, and whose daemons aren't started yet.
+func newUnstartedSoakCell(t testing.TB, seed int64, size soakSize, descriptors int) *soakCell {
 	t.Helper()
 	c := &soakCell{
 		t: t, checker: newSoakChecker(), dir: soakDir(t, seed), tolerated: size.tolerated, descriptors: descriptors,
@@ -115,10 +125,14 @@
 	for i := range size.workers {
 		c.workers = append(c.workers, startSoakWorker(c, fmt.Sprintf("i-%d", i), seed+int64(i)))
 	}
+	return c
+}
+
+// startDaemons starts all daemons for the first time.
+func (c *soakCell) startDaemons() {
 	for _, p := range c.daemons() {
 		p.writeSettingsAndStart(true)
 	}
-	return c
 }
 
 // soakDir returns the directory for the settings, logs and data of the processes. A kept
@@ -139,9 +153,37 @@
 
 // daemons returns the control processes and the entries.
 func (c *soakCell) daemons() []*soakProcess {
+	c.membersLock.RLock()
+	defer c.membersLock.RUnlock()
 	return slices.Concat(c.control, c.entries)
 }
 
+// currentControl returns the control processes.
+func (c *soakCell) currentControl() []*soakProcess {
+	c.membersLock.RLock()
+	defer c.membersLock.RUnlock()
+	return slices.Clone(c.control)
+}
+
+// currentEntries returns the entries.
+func (c *soakCell) currentEntries() []*soakProcess {
+	c.membersLock.RLock()
+	defer c.membersLock.RUnlock()
+	return slices.Clone(c.entries)
+}
+
+// replaceMember puts a process in the place of another one.
+func (c *soakCell) replaceMember(gone, successor *soakProcess) {
+	c.membersLock.Lock()
+	defer c.membersLock.Unlock()
+	for _, members := range [][]*soakProcess{c.control, c.entries} {
+		if i := slices.Index(members, gone); i >= 0 {
+			members[i] = successor
+		}
+	}
+	c.lostVMs = append(c.lostVMs, gone)
+}
+
 // stop kills the daemons, closes their relays and, if the test failed, shows their
 // logs.
 func (c *soakCell) stop() {
@@ -166,6 +208,7 @@
 		advertisedIP: fmt.Sprintf("127.%d.%d.%d", c.addressOctet, kind, index+1),
 		listenIP:     fmt.Sprintf("127.%d.%d.%d", c.addressOctet, 10+kind, index+1),
 	}
+	p.region = "r"
 	p.share = map[string]float64{"control": c.size.controlShare, "entry": c.size.entryShare}[role]
 	port := soakFirstPort // of the internal service; an entry's is the second one
 	if role == "control" {
@@ -197,7 +240,7 @@
 serves = [%s]
 ip = %q
 zone = "z1"
-region = "r"
+region = %q
 internal_port_range = [%d, %d]
 seeds = [%s]
 bootstrap = %v
@@ -222,7 +265,7 @@
 stop_timeout_ms = %d
 early_ms = 250
 status_s = 600
-`, p.name, role, serves, p.advertisedIP, soakFirstPort, soakFirstPort+9, strings.Join(seeds, ","), bootstrap, dataDir,
+`, p.name, role, serves, p.advertisedIP, p.region, soakFirstPort, soakFirstPort+9, strings.Join(seeds, ","), bootstrap, dataDir,
 		soakHeartbeatSetting.Milliseconds(),
 		p.listenIP, soakFirstPort+10, p.listenIP, soakFirstPort+11, p.listenIP, soakFirstPort+12, p.listenIP, c.descriptors, c.tolerated,
 		soakCatchUpBound.Seconds(), soakShutdownGrace.Seconds(), soakMaxHold.Milliseconds(), soakContactBound.Milliseconds(), soakStopTimeout.Milliseconds())
@@ -231,8 +274,9 @@
 // controlAddresses returns the addresses of the control processes in random order.
 func (c *soakCell) controlAddresses() []string {
 	var found []string
-	for _, i := range rand.Perm(len(c.control)) {
-		found = append(found, c.control[i].directAddress(12))
+	control := c.currentControl()
+	for _, i := range rand.Perm(len(control)) {
+		found = append(found, control[i].directAddress(12))
 	}
 	return found
 }
--- a/test/failure/soak_pending_test.go
+++ b/test/failure/soak_pending_test.go
@@ -14,7 +14,7 @@
 // readPending reads the number of pending jobs from a random entry and checks it, if the
 // entry and the control processes are without a fault.
 func (c *soakCell) readPending(client *http.Client, random *rand.Rand) {
-	entry := pickOne(random, c.entries)
+	entry := pickOne(random, c.currentEntries())
 	waiting := c.checker.waitingJobs(time.Now())
 	reported, ok := c.pending(client, entry)
 	still := c.checker.stillWaiting(waiting)
@@ -26,7 +26,7 @@
 // checkNonePending checks that the number of pending jobs falls to that of the unfinished
 // jobs, at every entry.
 func (c *soakCell) checkNonePending(client *http.Client) {
-	for _, entry := range c.entries {
+	for _, entry := range c.currentEntries() {
 		reported, unfinished := 0, 0
 		if !holdsWithin(2*soakPendingAge, func() (ok bool) {
 			reported, ok = c.pending(client, entry)
--- a/test/failure/soak_process_test.go
+++ b/test/failure/soak_process_test.go
@@ -22,6 +22,7 @@
 	logPath      string
 	advertisedIP string // the relay listens there
 	listenIP     string // the process listens there
+	region       string
 	dataDir      string // empty: none
 	link         *relay.Relay
 	settings     func(bootstrap bool) string
--- a/test/failure/soak_traffic_test.go
+++ b/test/failure/soak_traffic_test.go
@@ -112,7 +112,7 @@
 
 // callJob sends one request for a job to a random entry.
 func (c *soakCell) callJob(client *http.Client, random *rand.Rand, method, id string, body []byte) soakResponse {
-	return c.callEntry(client, pickOne(random, c.entries), method, id, body)
+	return c.callEntry(client, pickOne(random, c.currentEntries()), method, id, body)
 }
 
 // callEntry sends one request for a job, or for the queue if id is empty, to the entry.
