--- a/internal/fake/relay/silence_test.go
+++ b/internal/fake/relay/silence_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/pistachioport/pistachioport/internal/fake/relay"
@@ -83,6 +84,6 @@
 }
 
 func isTimeout(err error) bool {
-	timeout, ok := err.(net.Error)
-	return ok && timeout.Timeout()
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
--- a/test/failure/soak_cell_test.go
+++ b/test/failure/soak_cell_test.go
@@ -203,7 +203,7 @@
 	kind := map[string]int{"control": 1, "entry": 2}[role]
 	name := fmt.Sprintf("%s-%d", role, index)
 	p := &soakProcess{
-		t: c.t, checker: c.checker, name: name, config: filepath.Join(c.dir, name+".toml"),
+		t: c.t, checker: c.checker, name: name, index: index, config: filepath.Join(c.dir, name+".toml"),
 		logPath: filepath.Join(c.dir, name+".log"), descriptors: c.descriptors,
 		advertisedIP: fmt.Sprintf("127.%d.%d.%d", c.addressOctet, kind, index+1),
 		listenIP:     fmt.Sprintf("127.%d.%d.%d", c.addressOctet, 10+kind, index+1),
--- a/test/failure/soak_process_test.go
+++ b/test/failure/soak_process_test.go
@@ -18,6 +18,7 @@
 	t            testing.TB
 	checker      *soakChecker
 	name         string
+	index        int    // of its addresses
 	config       string // path of the settings file
 	logPath      string
 	advertisedIP string // the relay listens there
