--- a/test/failure/day_cell_test.go
+++ b/test/failure/day_cell_test.go
@@ -28,8 +28,9 @@
 	links        *dayLinks
 	watch        *leaderWatch
 	successors   int
-	startVM      func(*coreVM)            // begins to limit its processor time
-	incarnations map[string]uint64        // by name of the control process; none: its disk was lost
+	startVM      func(*coreVM)     // begins to limit its processor time
+	incarnations map[string]uint64 // by name of the control process; none: its disk was lost
+	lost         lostDisks
 	silent       map[string][]*silentPort // of entries that run on no VM of the core and have no power, by name
 }
 
@@ -88,6 +89,7 @@
 			o.damage(p, damageRandom)
 		}
 	}
+	c.loseDisks(len(o.wiped))
 	for _, vm := range o.wiped {
 		removeDataDir(vm.control, r)
 		delete(c.incarnations, vm.control.name)
@@ -100,6 +102,14 @@
 	}
 	time.Sleep(o.down)
 	c.powerOn(r, o.vms, o.entries)
+	c.lost.returned(time.Now())
+}
+
+// loseDisks records the loss of disks; a day that loses more than is tolerated shows nothing.
+func (c *dayCell) loseDisks(count int) {
+	if !c.lost.lose(time.Now(), count) {
+		c.checker.recordViolation("the day is wrong: more disks are lost at a time than is tolerated")
+	}
 }
 
 // powerOff kills the processes at once. Nothing that they have sent last arrives, and their addresses don't respond.
@@ -148,6 +158,7 @@
 // replace takes a VM away for good and starts an empty one at another address and of another name.
 func (c *dayCell) replace(index int) {
 	gone := c.vms[index]
+	c.loseDisks(1)
 	c.powerOff(gone.processes())
 	for _, p := range gone.processes() {
 		c.checkIncarnation(p)
@@ -171,6 +182,7 @@
 		p.writeSettingsAndStart(false)
 	}
 	c.startVM(vm)
+	c.lost.returned(time.Now())
 	if i := slices.Index(c.seeds, gone.control.index); i >= 0 {
 		c.seeds[i] = at // the settings of its successor still name the lost one
 	}
