--- a/test/failure/core_days_test.go
+++ b/test/failure/core_days_test.go
@@ -71,6 +71,7 @@
 	defer cancel()
 	size := soakSize{
 		controls: coreControls, entries: coreVMCount + *daysEntries, workers: *daysWorkers, tolerated: coreTolerated, entryShare: *daysEntryShare,
+		recordsDisks: true,
 	}
 	c := newDayCell(t, seed, size, *daysVMShare, func(vm *coreVM) { group.Go(func() { vm.limitShare(ctx) }) })
 	d := &day{dayCell: c, random: rand.New(rand.NewSource(seed)), client: &http.Client{Timeout: time.Second}}
@@ -104,6 +105,7 @@
 		c.checkIncarnation(vm.control)
 	}
 	t.Log(c.checker.summary())
+	c.checkDisksKept()
 	c.logVMShares()
 	c.logShares()
 	t.Logf("seed %d\n%s", seed, dayTable(c.checker.began, d.rows, c.readMembershipChanges()))
