--- a/test/failure/core_days_test.go
+++ b/test/failure/core_days_test.go
@@ -24,13 +24,13 @@
 	daysCallers    = flag.Int("days.callers", 4, "number of callers")
 	daysReturning  = flag.Int("days.returning", 20, "number of further callers that begin to call at once after each fault")
 	daysCalm       = flag.Duration("days.calm", 5*time.Second, "time after the last fault in which publications must go on")
+	daysMaxGap     = flag.Duration("days.maxgap", 9*time.Second, "longest time from the return after a fault to the next fault")
 	daysVMShare    = flag.Float64("days.vmshare", 0.64, "share of a core that the processes of a VM of the core may use in each tenth of a second")
 	daysEntryShare = flag.Float64("days.entryshare", 0.192, "share of a core that each other entry may use")
 )
 
 const (
 	dayMinGap = coreCatchUpBound // from the return of what a fault took down to the next fault
-	dayMaxGap = 9 * time.Second
 	// dayMaxSentBefore is the longest time from the sending of a publication to the last fault.
 	dayMaxSentBefore = 30 * time.Millisecond
 )
@@ -123,7 +123,7 @@
 		}
 		d.disturb()
 		last := &d.rows[len(d.rows)-1]
-		time.Sleep(time.Until(last.returned.Add(randomDuration(d.random, dayMinGap, dayMaxGap))))
+		time.Sleep(time.Until(last.returned.Add(randomDuration(d.random, dayMinGap, max(dayMinGap+time.Millisecond, *daysMaxGap)))))
 		d.endRow()
 	}
 	led := d.playFault(pickOne(d.random, lastFaults), d.publishBeforeLastFault())
