--- a/test/failure/soak_process_test.go
+++ b/test/failure/soak_process_test.go
@@ -18,10 +18,12 @@
 	t            testing.TB
 	checker      *soakChecker
 	name         string
+	index        int    // of its addresses
 	config       string // path of the settings file
 	logPath      string
 	advertisedIP string // the relay listens there
 	listenIP     string // the process listens there
+	region       string
 	dataDir      string // empty: none
 	recordsDisk  bool   // the data folder is on a recordedDisk
 	link         *relay.Relay
