--- a/internal/daemon/platform_control.go
+++ b/internal/daemon/platform_control.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -52,6 +54,7 @@
 	return newControlSupervisor(&controlSupervisor{
 		build:   p.buildControl,
 		folder:  p.settings.DataDir,
+		disk:    p.disk,
 		address: p.settings.ControlBindAddress(),
 		logger:  p.logger, registry: p.registry,
 		listen: func(address string, handler http.Handler) (*listener, error) {
@@ -70,6 +73,7 @@
 	})
 	address := p.settings.ControlAddress()
 	log, err := p.openReplica(replica.Config{
+		FileSystem:    p.disk,
 		DataDir:       p.settings.DataDir,
 		DurableEnd:    end,
 		Name:          p.settings.Name,
@@ -87,6 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.logEmptyFolder(log.Status())
 	bounds := p.settings.Bounds
 	size, largePlan := connlimit.NewSize(p.connections), connlimit.LargeControlPlan(descriptorLimit(p.settings))
 	server, err := control.New(control.Config{
@@ -163,8 +168,9 @@
 	if !errors.As(err, &damage) {
 		return log, err
 	}
-	p.logger.Error("data folder damaged; renaming its files", "file", damage.Path, "offset", damage.Offset, "reason", damage.Reason)
-	if err := storage.RenameDamagedFiles(nil, config.DataDir); err != nil {
+	p.logger.Error("data folder damaged; vote lost", "file", filepath.Base(damage.Path), "offset", damage.Offset, "reason", damage.Reason,
+		"folder", config.DataDir)
+	if err := storage.RenameDamagedFiles(config.FileSystem, config.DataDir); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "rename the damaged files of the data folder"), storage.ErrUnavailable)
 	}
 	config.DurableEnd = nil      // of the renamed files
@@ -172,6 +178,15 @@
 	return replica.New(config)
 }
 
+// logEmptyFolder logs that the process starts without a vote although its cluster was formed before: it is a new spare, or
+// has lost its disk.
+func (p *platformProcess) logEmptyFolder(status replica.Status) {
+	if status.ClusterID == "" && !p.settings.Bootstrap {
+		p.logger.Warn("data folder empty; no vote: a lost disk or a new process", "incarnation", fmt.Sprintf("%x", status.Incarnation),
+			"folder", p.settings.DataDir)
+	}
+}
+
 // platformBackgroundTasks returns two tasks: one forms the cluster at the first
 // start; the other registers the process with the leader as a spare while it is no
 // voter.
--- a/test/failure/soak_pending_test.go
+++ b/test/failure/soak_pending_test.go
@@ -14,7 +14,7 @@
 // readPending reads the number of pending jobs from a random entry and checks it, if the
 // entry and the control processes are without a fault.
 func (c *soakCell) readPending(client *http.Client, random *rand.Rand) {
-	entry := pickOne(random, c.entries)
+	entry := pickOne(random, c.currentEntries())
 	waiting := c.checker.waitingJobs(time.Now())
 	reported, ok := c.pending(client, entry)
 	still := c.checker.stillWaiting(waiting)
@@ -26,7 +26,7 @@
 // checkNonePending checks that the number of pending jobs falls to that of the unfinished
 // jobs, at every entry.
 func (c *soakCell) checkNonePending(client *http.Client) {
-	for _, entry := range c.entries {
+	for _, entry := range c.currentEntries() {
 		reported, unfinished := 0, 0
 		if !holdsWithin(2*soakPendingAge, func() (ok bool) {
 			reported, ok = c.pending(client, entry)
@@ -62,7 +62,7 @@
 	defer c.mu.Unlock()
 	var found []string
 	for id, j := range c.jobs {
-		if !j.acceptedAt.IsZero() && now.Sub(j.acceptedAt) > soakPendingAge && !j.started && !j.cancelSent && !j.finished() {
+		if !j.acceptedAt.IsZero() && now.Sub(j.acceptedAt) > soakPendingAge && !j.started && len(j.cancels) == 0 && !j.finished() {
 			found = append(found, id)
 		}
 	}
@@ -75,16 +75,9 @@
 	defer c.mu.Unlock()
 	count := 0
 	for _, id := range ids {
-		if j := c.jobs[id]; !j.started && !j.cancelSent {
+		if j := c.jobs[id]; !j.started && len(j.cancels) == 0 {
 			count++
 		}
 	}
 	return count
 }
-
-// cancelSent records a cancellation before it is sent.
-func (c *soakChecker) cancelSent(id string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.jobs[id].cancelSent = true
-}
--- a/test/failure/soak_traffic_test.go
+++ b/test/failure/soak_traffic_test.go
@@ -19,6 +19,7 @@
 	soakRetryBackoff    = 25 * time.Millisecond
 	soakPublishInterval = 400 * time.Millisecond
 	soakCallTimeout     = 3 * time.Second
+	soakCallerPort      = 10 // of an entry, as the offset from soakFirstPort
 )
 
 // runCaller submits jobs, reads their states and cancels some until ctx is done. It
@@ -43,9 +44,7 @@
 			c.readState(client, random, earlier)
 			if random.Intn(20) == 0 {
 				c.checker.cancelSent(earlier)
-				if c.callJob(client, random, http.MethodDelete, earlier, nil).status == http.StatusOK {
-					c.checker.cancelAcknowledged(earlier)
-				}
+				c.checker.cancelAnswered(earlier, c.callJob(client, random, http.MethodDelete, earlier, nil).status)
 			}
 			c.readPending(client, random)
 		}
@@ -112,12 +111,17 @@
 
 // callJob sends one request for a job to a random entry.
 func (c *soakCell) callJob(client *http.Client, random *rand.Rand, method, id string, body []byte) soakResponse {
-	return c.callEntry(client, pickOne(random, c.entries), method, id, body)
+	return c.callEntry(client, pickOne(random, c.currentEntries()), method, id, body)
 }
 
 // callEntry sends one request for a job, or for the queue if id is empty, to the entry.
 func (c *soakCell) callEntry(client *http.Client, entry *soakProcess, method, id string, body []byte) soakResponse {
-	request, err := http.NewRequest(method, "http://"+entry.directAddress(10)+soakPrefix+id, bytes.NewReader(body))
+	return c.callAddress(client, entry.directAddress(soakCallerPort), method, id, body)
+}
+
+// callAddress is callEntry for the entry that is reached at the address.
+func (c *soakCell) callAddress(client *http.Client, address, method, id string, body []byte) soakResponse {
+	request, err := http.NewRequest(method, "http://"+address+soakPrefix+id, bytes.NewReader(body))
 	if err != nil {
 		c.t.Error(err)
 		return soakResponse{}
@@ -182,8 +186,9 @@
 	return false
 }
 
-// readVersion checks the version of the configuration at every control process.
-func (c *soakCell) readVersion(client *http.Client) {
+// readVersion checks the version of the configuration at every control process. It reports whether one served it.
+func (c *soakCell) readVersion(client *http.Client) bool {
+	served := false
 	for _, address := range c.controlAddresses() {
 		before := c.checker.newestAckedVersion()
 		response, err := client.Get("http://" + address + "/api/config")
@@ -197,6 +202,8 @@
 		_ = response.Body.Close()
 		if response.StatusCode == http.StatusOK && err == nil {
 			c.checker.versionRead(catalog.Version, before)
+			served = true
 		}
 	}
+	return served
 }
