--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -122,10 +122,15 @@
 
 // updateMembership replaces the addresses by those of a changed membership and
 // stops the senders to incarnations that are not in it or have another address.
-func (t *transport) updateMembership(membership *apiv1.Membership) {
+//
+// The departing voters are in another membership that still counts.
+func (t *transport) updateMembership(membership *apiv1.Membership, departing []*apiv1.MemberInfo) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.members = memberAddresses(membership)
+	for _, member := range departing {
+		t.members[member.GetIncarnation()] = member.GetAddress()
+	}
 	for incarnation, s := range t.senders {
 		if t.members[incarnation] != s.address {
 			close(s.stop)
@@ -139,8 +144,15 @@
 func (t *transport) send(messages []*apiv1.RaftMessage) {
 	for _, message := range messages {
 		s := t.sender(message.GetTo())
-		if s == nil || !s.enqueue(message) {
-			t.counters.messagesDropped.Inc(1)
+		if s != nil && s.enqueue(message) {
+			continue
+		}
+		t.counters.messagesDropped.Inc(1)
+		if message.GetType() == apiv1.RaftMessage_TYPE_SNAPSHOT {
+			select {
+			case t.snapshotResults <- snapshotResult{message.GetTo(), false}:
+			default: // the core gives the snapshot up in time
+			}
 		}
 	}
 }
