--- a/internal/control/bootstrap.go
+++ b/internal/control/bootstrap.go
@@ -75,7 +75,7 @@
 	for {
 		isVoter := s.isVoter()
 		if wasVoter && !isVoter {
-			s.Logger.Warn("removed from the membership", "incarnation", s.Log.Status().Incarnation, "voters", len(s.Log.Status().Membership.GetVoters()))
+			s.logRemoval()
 		}
 		wasVoter = isVoter
 		hasLeader, wait := s.Log.Status().Leader != 0, spareRegistrationInterval
@@ -107,6 +107,13 @@
 	return nil
 }
 
+// logRemoval logs that this process, a voter before, no longer is one by its own log.
+func (s *Server) logRemoval() {
+	status := s.Log.Status()
+	s.Logger.Warn("removed from the membership", "incarnation", status.Incarnation, "voters", len(status.Membership.GetVoters()),
+		"term", status.Term, "leader", status.LeaderAddr)
+}
+
 // isVoter reports whether this process's incarnation is a voter.
 func (s *Server) isVoter() bool {
 	status := s.Log.Status()
