daemon: the cause of an unusable data folder comes first in its line

The error begins with the file's path, so that a collector that keeps 200 characters cut the cause. The test has a path of 260 characters; before, the kept part ended within the path.

--- a/internal/daemon/control_supervisor.go
+++ b/internal/daemon/control_supervisor.go
@@ -135,7 +135,8 @@
 
 func (s *controlSupervisor) recordFailure(err error) {
 	s.unavailable.Update(1)
-	s.logger.Error("data folder can't be used; no votes until it can", "error", err, "folder", s.folder)
+	// The error begins with the path, which may be too long for collectors to keep what follows.
+	s.logger.Error("data folder can't be used; no votes until it can", "cause", errors.UnwrapAll(err), "folder", s.folder, "error", err)
 }
 
 func (s *controlSupervisor) currentRole() *controlRole {
