test/failure: waits until jobs are accepted before they are cancelled

TestCancellationWhoseAnswerIsLost gave up when a submission was refused for lack of a leader, once in 4 runs (race detector, load 60). What it checks stays as it is.

--- a/test/failure/lost_cancel_answer_test.go
+++ b/test/failure/lost_cancel_answer_test.go
@@ -30,11 +30,12 @@
 	client := &http.Client{Timeout: soakCallTimeout}
 	impatient := &http.Client{Timeout: cancelWait}
 	for range jobs {
-		id := fmt.Sprintf("%016x", random.Uint64())
-		c.checker.jobSubmitted(id, 1, false)
-		if !c.submit(client, random, id, soakJobBody(1, false)) {
-			t.Fatalf("%s was not accepted", id)
-		}
+		var id string
+		await(t, "a job to be accepted", func() bool {
+			id = fmt.Sprintf("%016x", random.Uint64())
+			c.checker.jobSubmitted(id, 1, false)
+			return c.submit(client, random, id, soakJobBody(1, false))
+		})
 		c.checker.cancelSent(id)
 		status := c.callAddress(impatient, answersLost.Address(), http.MethodDelete, id, nil).status
 		c.checker.cancelAnswered(id, status)
