--- a/internal/daemon/folder_failure_log_test.go
+++ b/internal/daemon/folder_failure_log_test.go
@@ -22,9 +22,9 @@
 	failure := errors.Mark(errors.Wrap(&fs.PathError{Op: "write", Path: path, Err: syscall.ENOSPC}, "append to the log"), storage.ErrUnavailable)
 	_, err := newControlSupervisor(&controlSupervisor{
 		build:  func(*storage.Position) (*controlRole, error) { return nil, failure },
-		folder: path, logger: slog.New(slog.NewJSONHandler(&log, nil)).With("name", "edge-bagmati-a-1"), registry: gometrics.NewRegistry(),
+		folder: path, logger: slog.New(slog.NewJSONHandler(&log, nil)).With("name", "edge-region-a-1"), registry: gometrics.NewRegistry(),
 	})
 	is.NoErr(err)
 	kept := keptPart(log.String())
-	is.True(strings.Contains(kept, `"level":"ERROR","msg":"data folder can't be used; no votes until it can","name":"edge-bagmati-a-1","cause":"no space left on device"`))
+	is.True(strings.Contains(kept, `"level":"ERROR","msg":"data folder can't be used; no votes until it can","name":"edge-region-a-1","cause":"no space left on device"`))
 }
