--- a/model/replace.pml
+++ b/model/replace.pml
@@ -3,10 +3,13 @@
  *
  * Members are incarnations. At the start, 0, 1 and 2 are voters, and member 0 is
  * the leader of term 1. Member 3 is the new incarnation of the VM whose disk is
- * lost. The leader adds it as a learner, removes the incarnation whose disk is
- * lost and promotes the new one; a variant promotes it before that removal, as an
- * operator may. Each of these changes is a log entry and takes effect once it is
- * appended. One command is proposed as well.
+ * lost. The leader adds it as a learner, and replaces the incarnation whose disk is
+ * lost by it in one entry. Until that entry is committed, a majority of the voters
+ * before it is needed as well; once it is, any member may know it. Variants remove the
+ * one and then promote the other, or the reverse, as earlier versions and
+ * operators do. Each of these changes is a log entry and takes effect once it is
+ * appended. In another variant the voter that is replaced was only silent, and goes on with its
+ * disk. One command is proposed as well.
  *
  * A vote is one step between two members, and so is an append of one entry with
  * its acknowledgement. A member that does not respond is one that no step
@@ -23,12 +26,15 @@
  * compaction, pre-vote and the leader lease on votes, which only serve liveness,
  * read index, a second lost disk, and liveness.
  *
- * The variant must hold; each planted fault must be found:
+ * The variants must hold; each planted fault must be found:
  */
+// VARIANT: REMOVE_FIRST
 // VARIANT: PROMOTE_FIRST
+// VARIANT: SILENT_VOTER
 // FAULT: BUG_VOTE_LOST_DISK
 // FAULT: BUG_COUNT_LEARNER
 // FAULT: BUG_OLD_TERM_COMMIT
+// FAULT: BUG_NO_OLD_MAJORITY
 
 #define MEMBERS 4
 #define NEW     3  /* the incarnation that replaces the one whose disk is lost */
@@ -36,9 +42,15 @@
 
 /* Faults in elections show with a short log. The fault of committing an entry of
    an earlier term shows in the fourth term only. */
+#ifdef BUG_NO_OLD_MAJORITY /* a disk that is lost before its successor is added hides it */
+#define SILENT_VOTER
+#endif
 #if defined(BUG_OLD_TERM_COMMIT)
 #define TERMS  4
 #define LENGTH 2
+#elif defined(SILENT_VOTER)
+#define TERMS  2
+#define LENGTH 4
 #elif defined(BUG_VOTE_LOST_DISK)
 #define TERMS  3
 #define LENGTH 2
@@ -53,14 +65,17 @@
 #define ADD     3
 #define PROMOTE 4
 #define REMOVE  5
+#define REPLACE 6  /* removes the lost voter and promotes the new one */
 
-/* The automatic repair removes the lost voter before it promotes the new one. */
 #ifdef PROMOTE_FIRST
 #define SECOND_CHANGE PROMOTE
 #define THIRD_CHANGE  REMOVE
-#else
+#elif defined(REMOVE_FIRST)
 #define SECOND_CHANGE REMOVE
 #define THIRD_CHANGE  PROMOTE
+#else
+#define SECOND_CHANGE REPLACE
+#define THIRD_CHANGE  0
 #endif
 
 #define FOLLOWER  0
@@ -94,17 +109,24 @@
 
 /* Scratch variables of a step; 0 between steps. */
 byte i, n, set, size, agreeing;
+byte replaceIndex; /* of the replacement in a log, 1 for the first entry; 0: none */
+byte agreeingOld;  /* of the voters before the replacement */
+
+#define OLD_VOTERS 7
+#define OLD_SIZE   3
 
-/* computeVoters sets set to the voters in the log of member m, and size to their
-   number. */
+/* computeVoters sets set to the voters in the log of member m, size to their
+   number, and replaceIndex. */
 inline computeVoters(m) {
-  set = 7;
+  set = OLD_VOTERS;
+  replaceIndex = 0;
   i = 0;
   do
   :: i < logLength[m] ->
      if
      :: entryKind[AT(m, i)] == PROMOTE -> set = set | BIT(NEW)
      :: entryKind[AT(m, i)] == REMOVE  -> set = set & ~BIT(lostMember)
+     :: entryKind[AT(m, i)] == REPLACE -> set = (set & ~BIT(lostMember)) | BIT(NEW); replaceIndex = i + 1
      :: else
      fi;
      i++
@@ -129,7 +151,16 @@
   od
 }
 
-inline clearScratch() { i = 0; n = 0; set = 0; size = 0; agreeing = 0 }
+inline clearScratch() { i = 0; n = 0; set = 0; size = 0; agreeing = 0; replaceIndex = 0; agreeingOld = 0 }
+
+/* A majority of the old voters is needed with a replacement in the log that is not committed. */
+#ifdef BUG_NO_OLD_MAJORITY
+#define oldAgree(committed) true
+#else
+#define oldAgree(committed) (replaceIndex == 0 || (committed) || agreeingOld * 2 > OLD_SIZE)
+#endif
+#define replaceCommitted(m) (committedLength >= replaceIndex && \
+  committedTerm[replaceIndex - 1] == entryTerm[AT(m, replaceIndex - 1)])
 
 #define lastTerm(m) (logLength[m] == 0 -> 1 : entryTerm[AT(m, logLength[m] - 1)])
 #define upToDate(c, m) (lastTerm(c) > lastTerm(m) || (lastTerm(c) == lastTerm(m) && logLength[c] >= logLength[m]))
@@ -177,8 +208,10 @@
     computeVoters(c);
     n = votesReceived[c] & set;
     agreeing = (n & 1) + ((n >> 1) & 1) + ((n >> 2) & 1) + ((n >> 3) & 1);
+    n = votesReceived[c] & OLD_VOTERS;
+    agreeingOld = (n & 1) + ((n >> 1) & 1) + ((n >> 2) & 1);
     if
-    :: agreeing * 2 > size ->
+    :: agreeing * 2 > size && oldAgree(replaceCommitted(c)) ->
        role[c] = LEADER;
        votesReceived[c] = 0;
        assert(leaderOf[term[c]] == NONE);
@@ -255,6 +288,7 @@
     :: n < logLength[l] ->
        n++;
        agreeing = 0;
+       agreeingOld = 0;
        i = 0;
        do
        :: i < MEMBERS ->
@@ -262,6 +296,10 @@
           :: (set & BIT(i)) && (i == l || ackedIndex[ACK(term[l], i)] >= n) -> agreeing++
           :: else
           fi;
+          if
+          :: (OLD_VOTERS & BIT(i)) && (i == l || ackedIndex[ACK(term[l], i)] >= n) -> agreeingOld++
+          :: else
+          fi;
           i++
        :: else -> break
        od;
@@ -269,7 +307,7 @@
 #ifdef BUG_OLD_TERM_COMMIT
        :: agreeing * 2 > size -> commitIndex[l] = n
 #else
-       :: agreeing * 2 > size && entryTerm[AT(l, n - 1)] == term[l] -> commitIndex[l] = n
+       :: agreeing * 2 > size && oldAgree(commitIndex[l] >= replaceIndex) && entryTerm[AT(l, n - 1)] == term[l] -> commitIndex[l] = n
 #endif
        :: else
        fi
@@ -305,7 +343,7 @@
        if
        :: n == 0 -> set = ADD
        :: n > 0 && entryKind[AT(l, n - 1)] == ADD -> set = SECOND_CHANGE
-       :: n > 0 && entryKind[AT(l, n - 1)] == SECOND_CHANGE -> set = THIRD_CHANGE
+       :: n > 0 && entryKind[AT(l, n - 1)] == SECOND_CHANGE -> set = THIRD_CHANGE /* 0: none is left */
        :: else
        fi;
        if
@@ -326,6 +364,7 @@
   d_step {
     lostMember = m;
     inactive[NEW] = false;
+#ifndef SILENT_VOTER
     role[m] = FOLLOWER;
     votesReceived[m] = 0;
     commitIndex[m] = 0;
@@ -339,6 +378,7 @@
     od;
 #ifndef BUG_VOTE_LOST_DISK
     inactive[m] = true;
+#endif
 #endif
     clearScratch()
   }
@@ -358,10 +398,14 @@
 
 inline step(m) {
   if
+#ifdef SILENT_VOTER
+  :: term[m] < TERMS && role[m] != LEADER -> campaign(m)
+#else
   :: term[m] < TERMS && role[m] != LEADER && m != lostMember -> campaign(m)
+#endif
   :: role[m] == CANDIDATE && logLength[m] < LENGTH -> tryBecomeLeader(m)
   :: role[m] == LEADER && !commandProposed && logLength[m] < LENGTH -> commandProposed = true; append(m, COMMAND)
-  :: role[m] == LEADER && lostMember != NONE -> proposeChange(m)
+  :: role[m] == LEADER && lostMember != NONE && m != lostMember -> proposeChange(m)
   :: role[m] == LEADER -> commit(m)
   :: role[m] == LEADER -> stepDown(m)
   :: m != NEW && lostMember == NONE -> loseDisk(m)
