raft: a new leader waits for responses as long as its votes took

Cause: a leader waits for four times what its calls take to the fastest majority. It had measured none or only the fast ones, and the way back from the voters counts as well.

Change: a leader waits for the responses of a majority for four times as long as a majority has taken lately: to its pre-campaign, to its campaign, and to its messages. The limit of 16 election timeouts holds.

Safe: a leader that stays longer than its majority commits nothing and confirms no reads, and the others elect another one meanwhile. Membership changes ask for voters that responded within the election timeout, as before.

--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -19,14 +19,17 @@
 	members *membershipLog
 	random  *rand.Rand
 
-	electionTicks        int     // since the last message from the leader, vote or pre-vote granted, or campaign begun
-	electionTimeoutTicks int     // randomized for each wait
-	electionDraw         float64 // of the current election timeout, in [0, 1)
-	heartbeatTicks       int     // since the last heartbeat sent as leader
-	syncTicks            int     // that a sync takes, see SetSyncTicks
-	messageTicks         int     // that a message takes, see SetMessageTicks
-	campaigns            int     // begun since a leader was last known, or before this member was elected
-	deferred             bool    // to another pre-candidate, see deferTo
+	electionTicks        int       // since the last message from the leader, vote or pre-vote granted, or campaign begun
+	electionTimeoutTicks int       // randomized for each wait
+	electionDraw         float64   // of the current election timeout, in [0, 1)
+	heartbeatTicks       int       // since the last heartbeat sent as leader
+	syncTicks            int       // that a sync takes, see SetSyncTicks
+	messageTicks         int       // that a message takes, see SetMessageTicks
+	campaigns            int       // begun since a leader was last known, or before this member was elected
+	deferred             bool      // to another pre-candidate, see deferTo
+	campaignTicks        int       // since this member's pre-campaign, or its campaign in term, began
+	quorumSilence        int       // ticks since a majority had responded to the leader, at the last tick
+	responses            recentMax // ticks that a majority took to respond to this member
 
 	votes          map[uint64]bool      // responses to a (pre-)candidate by incarnation; true: granted
 	ownVotePending bool                 // a candidate's own vote, to be counted once it is on disk
@@ -47,13 +50,14 @@
 func New(options Options) *Core {
 	snapshot := options.Snapshot
 	c := &Core{
-		options: options,
-		id:      options.ID,
-		term:    options.HardState.Term,
-		vote:    options.HardState.Vote,
-		log:     newEntryLog(snapshot.GetIndex(), snapshot.GetTerm(), options.Entries),
-		members: newMembershipLog(snapshot.GetIndex(), snapshot.GetMembership()),
-		random:  rand.New(rand.NewPCG(options.Seed, options.ID)),
+		options:   options,
+		id:        options.ID,
+		term:      options.HardState.Term,
+		vote:      options.HardState.Vote,
+		log:       newEntryLog(snapshot.GetIndex(), snapshot.GetTerm(), options.Entries),
+		members:   newMembershipLog(snapshot.GetIndex(), snapshot.GetMembership()),
+		random:    rand.New(rand.NewPCG(options.Seed, options.ID)),
+		responses: recentMax{window: maxElectionStretch * options.ElectionTicks},
 	}
 	c.members.append(options.Entries)
 	c.log.commitTo(min(options.HardState.Commit, c.log.last()))
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -30,6 +30,9 @@
 		c.leader = 0 // or it would ignore the votes for a successor
 		return
 	}
+	if c.role != PreCandidate {
+		c.campaignTicks = 0
+	}
 	c.role = PreCandidate
 	c.leader = 0
 	c.resetRole()
@@ -46,11 +49,15 @@
 	if !c.mayCampaign() {
 		return
 	}
+	if c.role == PreCandidate {
+		c.responses.record(c.campaignTicks)
+	}
 	c.role = Candidate
 	c.term++
 	c.vote = c.id
 	c.leader = 0
 	c.campaigns++
+	c.campaignTicks = 0
 	c.deferred = false
 	c.resetRole()
 	c.restartElectionTimer(c.stretch(c.shortestCampaignTicks()))
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -11,6 +11,8 @@
 func (c *Core) becomeLeader() {
 	c.role = Leader
 	c.leader = c.id
+	c.responses.record(c.campaignTicks)
+	c.quorumSilence = 0
 	c.resetRole()
 	c.progress = make(map[uint64]*progress)
 	c.updateProgressMembers()
--- a/internal/raft/tick.go
+++ b/internal/raft/tick.go
@@ -1,9 +1,15 @@
 package raft
 
-import apiv1 "github.com/pistachioport/pistachioport/api/v1"
+import (
+	"slices"
+
+	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+)
 
 // Tick advances the timers by one tick.
 func (c *Core) Tick() {
+	c.responses.tick()
+	c.campaignTicks++
 	if c.role == Leader {
 		c.tickLeader()
 		return
@@ -26,6 +32,7 @@
 
 func (c *Core) tickLeader() {
 	c.tickProgress()
+	c.measureQuorum()
 	if !c.hasActiveQuorum() {
 		c.becomeFollower(c.term, 0)
 		return
@@ -57,21 +64,42 @@
 }
 
 // hasActiveQuorum reports whether a majority of the voters responded within the
-// election timeout. A leader without one steps down, as it may be partitioned
-// from the others.
+// time that it may take to. A leader without one steps down, as it may be
+// partitioned from the others.
 func (c *Core) hasActiveQuorum() bool {
 	membership := c.Membership()
-	return c.countActiveVoters(membership) >= quorum(membership)
+	return c.countVotersHeardWithin(membership, c.responsePatience()) >= quorum(membership)
 }
 
 // countActiveVoters returns how many voters of the membership responded within
 // the election timeout.
 func (c *Core) countActiveVoters(membership *apiv1.Membership) int {
-	active := 0
+	return c.countVotersHeardWithin(membership, c.stretch(c.shortestElectionTicks()))
+}
+
+// countVotersHeardWithin returns how many voters of the membership responded less
+// than the given ticks ago.
+func (c *Core) countVotersHeardWithin(membership *apiv1.Membership, ticks int) int {
+	heard := 0
 	for _, voter := range membership.GetVoters() {
-		if c.progress[voter.GetIncarnation()].ticksSinceResponse < c.stretch(c.shortestElectionTicks()) {
-			active++
+		if c.progress[voter.GetIncarnation()].ticksSinceResponse < ticks {
+			heard++
 		}
 	}
-	return active
+	return heard
+}
+
+// measureQuorum records how long a majority was silent, once it has responded.
+func (c *Core) measureQuorum() {
+	membership := c.Membership()
+	silences := make([]int, 0, len(membership.GetVoters()))
+	for _, voter := range membership.GetVoters() {
+		silences = append(silences, c.progress[voter.GetIncarnation()].ticksSinceResponse)
+	}
+	slices.Sort(silences)
+	silence := silences[quorum(membership)-1]
+	if silence < c.quorumSilence {
+		c.responses.record(c.quorumSilence)
+	}
+	c.quorumSilence = silence
 }
--- a/internal/raft/timeouts.go
+++ b/internal/raft/timeouts.go
@@ -15,6 +15,9 @@
 	messagesPerElectionTimeout = 4
 	// messagesPerCampaign fit in the wait for votes: the request, the response, and one as a margin.
 	messagesPerCampaign = 3
+	// responseMargin is how many times as long as lately the responses of a majority may take: a vote and a first append
+	// need as long as that each, and the same again as a margin.
+	responseMargin = 4
 	// maxElectionStretch limits the timeouts, as a multiple of Options.ElectionTicks.
 	maxElectionStretch = 16
 	maxDoublings       = 5 // from the shortest wait for votes to that limit
@@ -61,3 +64,10 @@
 	doublings := min(max(c.campaigns-promptCampaigns, 0), maxDoublings)
 	return min(ticks<<doublings, maxElectionStretch*c.options.ElectionTicks)
 }
+
+// responsePatience returns how long a leader waits for the responses of a majority. It follows how long they have taken
+// lately, beginning with the votes: messages to the fastest members and back can take longer than those to them.
+func (c *Core) responsePatience() int {
+	shown := min(responseMargin*c.responses.value(), maxElectionStretch*c.options.ElectionTicks)
+	return max(c.stretch(c.shortestElectionTicks()), shown)
+}
