raft: candidates give each other time, and votes that arrive late count

Cause, from traces of the cores in virtual time: votes and pre-votes that arrived after the next request were thrown away; a candidate began the next term while the votes for this one were on their way; voters granted pre-votes to others meanwhile, and two pre-candidates granted each other theirs and split the votes; requests were repeated only after several message times.

Change: - Votes for the current term count until the member leads, or leaves the term. Pre-votes count over repeated requests. - A (pre-)candidate asks those that have not granted again after half an election timeout. A candidate that nobody has refused stays in its term; one that was refused holds a pre-vote soon, as the votes may be split. A request of an older term is answered. - A member that has voted, that campaigns itself, or that has granted a pre-vote to one with a higher incarnation, leaves the pre-votes of others unanswered for an election timeout, which follows the time that messages take. - During an election, calls in progress count towards that time with what they have taken so far.

Safe: a member still votes once in a term, and a leader still has the votes of a majority in its term. Nobody else can lead that term, and without a leader of it the candidate's log and membership have not changed since it asked. A leadership that has ended doesn't begin again. Pre-votes decide nothing.

--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -22,16 +22,20 @@
 	electionTicks        int       // since the last message from the leader, vote or pre-vote granted, or campaign begun
 	electionTimeoutTicks int       // randomized for each wait
 	electionDraw         float64   // of the current election timeout, in [0, 1)
+	retryTicks           int       // until a (pre-)candidate asks again those that have not answered
 	heartbeatTicks       int       // since the last heartbeat sent as leader
 	syncTicks            int       // that a sync takes, see SetSyncTicks
 	messageTicks         int       // that a message takes, see SetMessageTicks
 	campaigns            int       // begun since a leader was last known, or before this member was elected
 	deferred             bool      // to another pre-candidate, see deferTo
 	campaignTicks        int       // since this member's pre-campaign, or its campaign in term, began
+	promised             uint64    // incarnation that was last granted a vote or pre-vote; 0: none
+	promiseTicks         int       // since then
 	quorumSilence        int       // ticks since a majority had responded to the leader, at the last tick
 	responses            recentMax // ticks that a majority took to respond to this member
 
-	votes          map[uint64]bool      // responses to a (pre-)candidate by incarnation; true: granted
+	preVotes       map[uint64]bool      // responses to a pre-candidate by incarnation; true: granted
+	votes          map[uint64]bool      // responses to this member's campaign in term, also after it gave up waiting; nil: none
 	ownVotePending bool                 // a candidate's own vote, to be counted once it is on disk
 	progress       map[uint64]*progress // of all members by incarnation; only on the leader
 	reads          readRounds           // only on the leader
@@ -114,6 +118,8 @@
 	}
 	if term != c.term {
 		c.vote = 0
+		c.votes = nil
+		c.ownVotePending = false
 	}
 	c.term = term
 	c.leader = leader
@@ -124,8 +130,7 @@
 // resetRole clears the state of the previous role and restarts the election
 // timer.
 func (c *Core) resetRole() {
-	c.votes = nil
-	c.ownVotePending = false
+	c.preVotes = nil
 	c.progress = nil
 	c.reads = readRounds{}
 	c.transferee = 0
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -22,24 +22,37 @@
 	return c.members.at(c.log.committed)
 }
 
+// continueElection does what a member that is not the leader does when its wait is over. A candidate that nobody has
+// refused asks again in the same term: a new term would only make its voters begin anew.
+func (c *Core) continueElection() {
+	if _, refusals := c.tally(c.votes); c.role == Candidate && refusals == 0 {
+		c.restartElectionTimer(c.stretch(c.shortestCampaignTicks()))
+		return
+	}
+	c.preCampaign()
+}
+
 // preCampaign starts a pre-vote: it asks whether an election could be won,
 // without entering a new term. So a member that returns from a network partition
-// does not disturb the leader.
+// does not disturb the leader. A pre-candidate asks again those that have not
+// granted their pre-votes yet; those that it has are for the same term.
 func (c *Core) preCampaign() {
 	if !c.mayCampaign() {
 		c.leader = 0 // or it would ignore the votes for a successor
 		return
 	}
-	if c.role != PreCandidate {
+	preVotes := c.preVotes
+	if preVotes == nil {
+		preVotes = make(map[uint64]bool)
 		c.campaignTicks = 0
 	}
 	c.role = PreCandidate
 	c.leader = 0
 	c.resetRole()
-	c.shortenElectionTimer()
-	c.votes = make(map[uint64]bool)
-	c.requestVotes(apiv1.RaftMessage_TYPE_PRE_VOTE, c.term+1, false)
-	c.countVote(c.id, true)
+	c.restartElectionTimer(c.shortestCampaignTicks())
+	c.preVotes = preVotes
+	c.requestVotes(apiv1.RaftMessage_TYPE_PRE_VOTE, c.term+1, false, c.preVotes)
+	c.countPreVote(c.id, true)
 }
 
 // campaign starts an election in a new term. With transfer set, the leader asked
@@ -62,24 +75,38 @@
 	c.resetRole()
 	c.restartElectionTimer(c.stretch(c.shortestCampaignTicks()))
 	c.votes = make(map[uint64]bool)
-	c.requestVotes(apiv1.RaftMessage_TYPE_VOTE, c.term, transfer)
+	c.requestVotes(apiv1.RaftMessage_TYPE_VOTE, c.term, transfer, c.votes)
 	c.ownVotePending = true
 }
 
-// shortenElectionTimer makes a campaign that ended in a split vote start again
-// sooner than a follower's election timeout.
-func (c *Core) shortenElectionTimer() {
-	c.restartElectionTimer(c.shortestCampaignTicks())
+// tickRetry makes a (pre-)candidate ask again those that have not granted their vote: its request, or the response, may be
+// lost or held up by what a later one passes.
+func (c *Core) tickRetry() {
+	if c.role != PreCandidate && c.role != Candidate {
+		return
+	}
+	if c.retryTicks--; c.retryTicks > 0 {
+		return
+	}
+	if c.role == PreCandidate {
+		c.requestVotes(apiv1.RaftMessage_TYPE_PRE_VOTE, c.term+1, false, c.preVotes)
+	} else {
+		c.requestVotes(apiv1.RaftMessage_TYPE_VOTE, c.term, false, c.votes)
+	}
 }
 
+// shortestRetryTicks returns the shortest wait of a (pre-)candidate before it asks again.
+func (c *Core) shortestRetryTicks() int { return max(1, c.options.ElectionTicks/campaignRetryDivisor) }
+
 // campaignRetryDivisor is what the shortest election timeout is divided by to
 // get the shortest wait between two campaigns.
 const campaignRetryDivisor = 2
 
-// requestVotes sends a vote or pre-vote request to all other voters.
-func (c *Core) requestVotes(kind apiv1.RaftMessage_Type, term uint64, transfer bool) {
+// requestVotes sends a vote or pre-vote request to the other voters that have not granted it.
+func (c *Core) requestVotes(kind apiv1.RaftMessage_Type, term uint64, transfer bool, granted map[uint64]bool) {
+	c.retryTicks = c.shortestRetryTicks()
 	for _, voter := range c.Membership().GetVoters() {
-		if voter.GetIncarnation() == c.id {
+		if voter.GetIncarnation() == c.id || granted[voter.GetIncarnation()] {
 			continue
 		}
 		// The candidate's vote for itself must be on disk before it asks others.
@@ -94,30 +121,51 @@
 	}
 }
 
-// countVote records a response to the current campaign. The campaign is won once
-// a majority has granted its vote, and lost once no majority can grant it.
+// countPreVote records a response to the current pre-campaign. It ends with a
+// campaign once a majority has granted its pre-vote, and is given up once no
+// majority can.
+func (c *Core) countPreVote(from uint64, granted bool) {
+	c.preVotes[from] = c.preVotes[from] || granted
+	switch grants, refusals := c.tally(c.preVotes); {
+	case grants >= quorum(c.Membership()):
+		c.campaign(false)
+	case refusals > len(c.Membership().GetVoters())-quorum(c.Membership()):
+		c.becomeFollower(c.term, 0)
+	}
+}
+
+// countVote records a response to the campaign in the current term. The campaign
+// is won once a majority has granted its vote, and lost once no majority can grant
+// it. Votes that arrive after the candidate gave up waiting count as well while it
+// is in the same term: nobody else can have been elected in it, and its log has not changed.
 func (c *Core) countVote(from uint64, granted bool) {
+	if c.votes == nil || c.role == Leader {
+		return
+	}
 	if _, ok := c.votes[from]; !ok {
 		c.votes[from] = granted
 	}
-	membership := c.Membership()
-	grants, refusals := 0, 0
-	for _, voter := range membership.GetVoters() {
-		vote, ok := c.votes[voter.GetIncarnation()]
+	switch grants, refusals := c.tally(c.votes); {
+	case grants >= quorum(c.Membership()):
+		c.becomeLeader()
+	case c.role == Candidate && refusals > len(c.Membership().GetVoters())-quorum(c.Membership()):
+		c.becomeFollower(c.term, 0)
+	case c.role == Candidate && !granted && refusals == 1:
+		c.restartElectionTimer(c.shortestRetryTicks()) // the votes may be split
+	}
+}
+
+// tally returns how many voters have granted and refused.
+func (c *Core) tally(votes map[uint64]bool) (grants, refusals int) {
+	for _, voter := range c.Membership().GetVoters() {
+		vote, ok := votes[voter.GetIncarnation()]
 		if ok && vote {
 			grants++
 		} else if ok {
 			refusals++
 		}
 	}
-	switch {
-	case grants >= quorum(membership) && c.role == PreCandidate:
-		c.campaign(false)
-	case grants >= quorum(membership):
-		c.becomeLeader()
-	case refusals > len(membership.GetVoters())-quorum(membership):
-		c.becomeFollower(c.term, 0)
-	}
+	return grants, refusals
 }
 
 // handleVoteRequest answers a vote or pre-vote request. Whether a pre-vote for a
@@ -128,6 +176,9 @@
 		c.vote == 0 && c.leader == 0 ||
 		preVote && m.GetTerm() > c.term
 	granted := c.mayVote() && voteAvailable && c.log.isUpToDate(m.GetIndex(), m.GetLogTerm())
+	if preVote && granted && c.favoursAnother(m) {
+		return
+	}
 	response := &apiv1.RaftMessage{
 		Type:   apiv1.RaftMessage_TYPE_VOTE_RESPONSE,
 		To:     m.GetFrom(),
@@ -138,15 +189,44 @@
 	}
 	if preVote && granted {
 		response.Term = m.GetTerm()
+		c.promise(m.GetFrom())
 		c.deferTo(m.GetFrom())
 	}
 	if !preVote && granted {
+		if c.vote == 0 {
+			c.promised, c.promiseTicks = m.GetFrom(), 0
+		}
 		c.vote = m.GetFrom()
 		c.electionTicks = 0
 	}
 	c.sendAfterSync(response)
 }
 
+// promise records whom this member has last granted a vote or pre-vote, which has time to win then.
+func (c *Core) promise(candidate uint64) {
+	if c.promised != candidate {
+		c.promised, c.promiseTicks = candidate, 0
+	}
+}
+
+// favoursAnother reports whether another candidate may still win, possibly this member itself, so that a pre-vote for
+// the one that asks would make them interrupt each other. It doesn't answer that one then, which will ask again.
+func (c *Core) favoursAnother(m *apiv1.RaftMessage) bool {
+	wait := c.shortestElectionTicks()
+	isAhead := m.GetIndex() != c.log.last() || m.GetLogTerm() != c.log.lastTerm()
+	switch c.role {
+	case PreCandidate:
+		return m.GetFrom() < c.id && !isAhead && c.campaignTicks < wait
+	case Candidate:
+		_, refusals := c.tally(c.votes)
+		return refusals == 0 && !isAhead && c.campaignTicks < wait
+	}
+	if c.promised == 0 || c.promised == m.GetFrom() || c.promiseTicks >= wait {
+		return false
+	}
+	return c.vote == c.promised || m.GetFrom() < c.promised && !isAhead
+}
+
 // deferTo restarts the election timer for a pre-candidate that may win, so that this member does not split the votes. Of
 // two pre-candidates the one with the lower incarnation defers. It does so once until it campaigns or knows a leader, as
 // the other one may not be able to win after all.
--- a/internal/raft/election_test.go
+++ b/internal/raft/election_test.go
@@ -36,6 +36,129 @@
 	return &apiv1.RaftMessage{Type: apiv1.RaftMessage_TYPE_VOTE_RESPONSE, From: from, To: c.id, Term: c.term, Reject: !granted}
 }
 
+// Votes that arrived after a candidate had begun its next pre-campaign were thrown away.
+func TestLateVotesCount(t *testing.T) {
+	is := is.New(t)
+	_, c := newCandidate(t)
+	term, voters := c.term, others(c)
+	c.Step(voteResponse(c, voters[0], false))
+	for c.Role() == Candidate {
+		c.Tick()
+	}
+	is.Equal(c.Role(), PreCandidate)
+	c.becomeFollower(c.term, 0) // as when it defers
+	c.Step(voteResponse(c, voters[1], true))
+	c.Step(voteResponse(c, voters[2], true))
+	is.Equal(c.Role(), Leader)
+	is.Equal(c.Term(), term)
+	c.becomeFollower(c.term, 0)
+	c.Step(voteResponse(c, voters[3], true))
+	is.Equal(c.Role(), Follower) // a leadership that has ended doesn't begin again
+}
+
+// Votes of one term don't count in the next one.
+func TestVotesOfAnOlderTermDoNotCount(t *testing.T) {
+	is := is.New(t)
+	_, c := newCandidate(t)
+	voters := others(c)
+	c.Step(voteResponse(c, voters[0], true))
+	late := voteResponse(c, voters[1], true)
+	c.becomeFollower(c.term+1, 0)
+	c.Step(late)
+	is.Equal(c.Role(), Follower)
+	late.Term = c.term
+	c.Step(late)
+	is.Equal(c.Role(), Follower)
+}
+
+// A candidate whose requests were slow began another term, in which its voters had to begin anew.
+func TestCandidateThatNobodyRefusedAsksAgainInItsTerm(t *testing.T) {
+	is := is.New(t)
+	sim, c := newCandidate(t)
+	term := c.term
+	sim.network = nil
+	c.Step(voteResponse(c, others(c)[0], true))
+	for range 10 * c.options.ElectionTicks {
+		c.Tick()
+		sim.process(sim.find(c.id), false)
+	}
+	is.Equal(c.Role(), Candidate)
+	is.Equal(c.Term(), term)
+	asked := make(map[uint64]bool)
+	for _, m := range sim.network {
+		asked[m.GetTo()] = m.GetType() == apiv1.RaftMessage_TYPE_VOTE
+	}
+	is.Equal(len(asked), 3) // those that have not answered
+	c.Step(voteResponse(c, others(c)[1], false))
+	for range 2 * c.shortestRetryTicks() {
+		c.Tick()
+	}
+	is.Equal(c.Role(), PreCandidate) // the votes may be split
+}
+
+// Pre-votes that arrived after a pre-candidate had asked again were counted anew.
+func TestPreVotesOfEarlierRequestsCount(t *testing.T) {
+	is := is.New(t)
+	_, c := newCandidate(t)
+	c.becomeFollower(c.term, 0)
+	c.preCampaign()
+	response := func(from uint64) *apiv1.RaftMessage {
+		return &apiv1.RaftMessage{Type: apiv1.RaftMessage_TYPE_PRE_VOTE_RESPONSE, From: from, To: c.id, Term: c.term + 1}
+	}
+	c.Step(response(others(c)[0]))
+	for range 4 * c.options.ElectionTicks {
+		c.Tick()
+	}
+	is.Equal(c.Role(), PreCandidate)
+	c.Step(response(others(c)[1]))
+	is.Equal(c.Role(), Candidate)
+}
+
+// Voters whose votes were on their way let another candidate begin the next term.
+func TestVoterGivesItsCandidateTimeToWin(t *testing.T) {
+	is := is.New(t)
+	sim, candidate := newCandidate(t)
+	voter := sim.find(others(candidate)[0])
+	rival := others(candidate)[1]
+	voter.core.becomeFollower(voter.core.term, 0)
+	voter.core.Step(&apiv1.RaftMessage{
+		Type: apiv1.RaftMessage_TYPE_VOTE, From: candidate.id, To: voter.id, Term: candidate.term,
+		Index: candidate.log.last(), LogTerm: candidate.log.lastTerm(),
+	})
+	is.Equal(voter.core.vote, candidate.id)
+	sim.process(voter, false)
+	answers := func() int {
+		sim.network = nil
+		voter.core.Step(&apiv1.RaftMessage{
+			Type: apiv1.RaftMessage_TYPE_PRE_VOTE, From: rival, To: voter.id, Term: voter.core.term + 1,
+			Index: candidate.log.last(), LogTerm: candidate.log.lastTerm(),
+		})
+		sim.process(voter, false)
+		return len(sim.network)
+	}
+	is.Equal(answers(), 0)
+	for range voter.core.shortestElectionTicks() {
+		voter.core.Tick()
+	}
+	is.Equal(answers(), 1) // the candidate has had its time
+}
+
+// A candidate of an older term was not answered, and asked again and again in it.
+func TestCandidateOfAnOlderTermLearnsTheTerm(t *testing.T) {
+	is := is.New(t)
+	sim, c := newCandidate(t)
+	voter := sim.find(others(c)[0])
+	voter.core.becomeFollower(c.term+3, 0)
+	sim.process(voter, false)
+	for range len(sim.network) {
+		if m := sim.deliver(0); m != nil {
+			sim.process(m, false)
+		}
+	}
+	sim.deliverAll()
+	is.True(c.Term() >= voter.core.Term())
+}
+
 // New leaders stepped down before the voters' first responses had arrived, which take as long as their votes had taken.
 func TestNewLeaderWaitsForResponsesAsForVotes(t *testing.T) {
 	is := is.New(t)
--- a/internal/raft/follower.go
+++ b/internal/raft/follower.go
@@ -20,6 +20,7 @@
 	c.electionTicks = 0
 	c.campaigns = 0
 	c.deferred = false
+	c.promised = 0
 }
 
 func (c *Core) handleAppend(m *apiv1.RaftMessage) {
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -13,6 +13,7 @@
 	c.leader = c.id
 	c.responses.record(c.campaignTicks)
 	c.quorumSilence = 0
+	c.votes = nil // or a late one would make it the leader again after it has stepped down
 	c.resetRole()
 	c.progress = make(map[uint64]*progress)
 	c.updateProgressMembers()
--- a/internal/raft/status.go
+++ b/internal/raft/status.go
@@ -36,8 +36,12 @@
 
 // Election returns the state of this member's search for a leader.
 func (c *Core) Election() Election {
+	votes := c.votes
+	if c.role == PreCandidate {
+		votes = c.preVotes
+	}
 	return Election{
-		Role: c.role, Votes: maps.Clone(c.votes), MayCampaign: c.mayCampaign(),
+		Role: c.role, Votes: maps.Clone(votes), MayCampaign: c.mayCampaign(),
 		LastIndex: c.log.last(), LastTerm: c.log.lastTerm(), Campaigns: c.campaigns,
 	}
 }
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -57,6 +57,8 @@
 	switch {
 	case isFromLeader(m):
 		c.sendAfterSync(&apiv1.RaftMessage{Type: apiv1.RaftMessage_TYPE_APPEND_RESPONSE, To: m.GetFrom(), Reject: true})
+	case m.GetType() == apiv1.RaftMessage_TYPE_VOTE:
+		c.sendAfterSync(&apiv1.RaftMessage{Type: apiv1.RaftMessage_TYPE_VOTE_RESPONSE, To: m.GetFrom(), Reject: true})
 	case m.GetType() == apiv1.RaftMessage_TYPE_PRE_VOTE:
 		c.sendAfterSync(&apiv1.RaftMessage{Type: apiv1.RaftMessage_TYPE_PRE_VOTE_RESPONSE, To: m.GetFrom(), Reject: true})
 	}
@@ -70,12 +72,10 @@
 		c.handleVoteRequest(m)
 	case apiv1.RaftMessage_TYPE_PRE_VOTE_RESPONSE:
 		if c.role == PreCandidate && (m.GetReject() || m.GetTerm() == c.term+1) {
-			c.countVote(m.GetFrom(), !m.GetReject())
+			c.countPreVote(m.GetFrom(), !m.GetReject())
 		}
 	case apiv1.RaftMessage_TYPE_VOTE_RESPONSE:
-		if c.role == Candidate {
-			c.countVote(m.GetFrom(), !m.GetReject())
-		}
+		c.countVote(m.GetFrom(), !m.GetReject())
 	case apiv1.RaftMessage_TYPE_APPEND:
 		c.followLeader(m.GetFrom())
 		c.handleAppend(m)
--- a/internal/raft/tick.go
+++ b/internal/raft/tick.go
@@ -10,6 +10,7 @@
 func (c *Core) Tick() {
 	c.responses.tick()
 	c.campaignTicks++
+	c.promiseTicks++
 	if c.role == Leader {
 		c.tickLeader()
 		return
@@ -17,8 +18,9 @@
 	c.electionTicks++
 	if c.electionTicks >= c.electionTimeoutTicks {
 		c.electionTicks = 0
-		c.preCampaign()
+		c.continueElection()
 	}
+	c.tickRetry()
 }
 
 // SkipTicks tells the core that n ticks were missed while the member was busy. They count
--- a/internal/replica/call_times.go
+++ b/internal/replica/call_times.go
@@ -40,17 +40,17 @@
 
 func (c answeredCall) took() time.Duration { return c.ended.Sub(c.begun) }
 
-// begin records that a call of messages of the given size begins. The caller passes the result to end.
-func (c *callTimes) begin(size int, cancel context.CancelFunc) *openCall {
-	call := &openCall{begun: time.Now(), size: size, cancel: cancel}
+// begin records that a call of messages of the given size begins now. The caller passes the result to end.
+func (c *callTimes) begin(now time.Time, size int, cancel context.CancelFunc) *openCall {
+	call := &openCall{begun: now, size: size, cancel: cancel}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unanswered = append(c.unanswered, call)
 	return call
 }
 
-// end records that a call has ended. err is nil if it was answered.
-func (c *callTimes) end(call *openCall, err error) {
+// end records that a call ends now. err is nil if it was answered.
+func (c *callTimes) end(now time.Time, call *openCall, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unanswered = slices.DeleteFunc(c.unanswered, func(other *openCall) bool { return other == call })
@@ -58,8 +58,8 @@
 		c.failure = err.Error()
 		return
 	}
-	c.record(answeredCall{call.begun, time.Now()})
-	c.respondedAt, c.failure = time.Now(), ""
+	c.record(answeredCall{call.begun, now})
+	c.respondedAt, c.failure = now, ""
 }
 
 // cancelOldest cancels the oldest calls in progress while all of them hold more than the given number of bytes.
@@ -110,6 +110,16 @@
 	return usual, true
 }
 
+// waited returns for how long the oldest call in progress has waited, or false if there is none.
+func (c *callTimes) waited(now time.Time) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.unanswered) == 0 {
+		return 0, false
+	}
+	return now.Sub(c.unanswered[0].begun), true
+}
+
 // callSummary describes the calls to one member at a point in time.
 type callSummary struct {
 	unanswered    int           // calls in progress
--- a/internal/replica/sender.go
+++ b/internal/replica/sender.go
@@ -147,14 +147,14 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	identity := s.transport.store.Identity()
-	open := s.times.begin(size, cancel)
+	open := s.times.begin(time.Now(), size, cancel)
 	_, err := s.client.Step(ctx, &apiv1.StepRequest{
 		ClusterId:   identity.ClusterID,
 		Messages:    batch,
 		From:        identity.Incarnation,
 		FromAddress: s.transport.config.Address,
 	})
-	s.times.end(open, err)
+	s.times.end(time.Now(), open, err)
 	if err != nil {
 		s.transport.counters.callsFailed.Inc(1)
 		// An idle connection may be dead without having been closed; the next
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -87,17 +87,26 @@
 }
 
 // messageTime returns how long messages take at present to as many other voters as a majority needs, the fastest ones.
-// Those that don't answer are left out; false if none does.
+// While calls to all of them are known or in progress, as in an election, those that don't answer count with the time
+// that they have taken so far. Otherwise they are left out; false if none answers.
 func (t *transport) messageTime(voters []*apiv1.MemberInfo, now time.Time) (time.Duration, bool) {
-	var times []time.Duration
+	var known, waits []time.Duration
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, voter := range voters {
-		if s := t.senders[voter.GetIncarnation()]; s != nil {
-			if typical, ok := s.times.typical(now, t.config.CallTimeout); ok {
-				times = append(times, typical)
-			}
+		s := t.senders[voter.GetIncarnation()]
+		if s == nil {
+			continue
 		}
+		if typical, ok := s.times.typical(now, t.config.CallTimeout); ok {
+			known = append(known, typical)
+		} else if waited, ok := s.times.waited(now); ok {
+			waits = append(waits, waited)
+		}
+	}
+	times := known
+	if len(known)+len(waits) == len(voters)-1 {
+		times = append(times, waits...)
 	}
 	slices.Sort(times)
 	if needed := min(len(voters)/2, len(times)); needed > 0 {
