raft: a follower's patience follows the intervals of its leader's messages

Cause: the election timeout served two ends. Votes need several messages one after the other; the messages of a leader follow each other at their own interval, however long each of them takes.

Change: once messages of a leader have arrived, a follower waits for it twice the longest interval between them in the last 5 to 10 s, at most as long as before and at least the configured election timeout and three syncs. The same holds for how long it ignores requests for votes.

--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -33,6 +33,9 @@
 	promiseTicks         int       // since then
 	quorumSilence        int       // ticks since a majority had responded to the leader, at the last tick
 	responses            recentMax // ticks that a majority took to respond to this member
+	silenceTicks         int       // since the last message from the leader
+	heardInTerm          uint64    // term of that message; 0: none
+	silences             recentMax // ticks between messages of a leader
 
 	preVotes       map[uint64]bool      // responses to a pre-candidate by incarnation; true: granted
 	votes          map[uint64]bool      // responses to this member's campaign in term, also after it gave up waiting; nil: none
@@ -62,6 +65,7 @@
 		members:   newMembershipLog(snapshot.GetIndex(), snapshot.GetMembership()),
 		random:    rand.New(rand.NewPCG(options.Seed, options.ID)),
 		responses: recentMax{window: maxElectionStretch * options.ElectionTicks},
+		silences:  recentMax{window: maxElectionStretch * options.ElectionTicks},
 	}
 	c.members.append(options.Entries)
 	c.log.commitTo(min(options.HardState.Commit, c.log.last()))
@@ -117,6 +121,7 @@
 		c.campaigns-- // the one that was won
 	}
 	if term != c.term {
+		c.silences.reset()
 		c.vote = 0
 		c.votes = nil
 		c.ownVotePending = false
--- a/internal/raft/election_test.go
+++ b/internal/raft/election_test.go
@@ -179,3 +179,29 @@
 	c.Tick()
 	is.Equal(c.Role(), Follower)
 }
+
+// With slow messages, followers waited for several times as long as a message takes, although a leader's messages follow each
+// other at short intervals.
+func TestFollowerPatienceFollowsTheLeadersIntervals(t *testing.T) {
+	is := is.New(t)
+	sim, leader := newSimulationWithLeader(t, 3)
+	follower := sim.members[1].core
+	if follower.id == leader.id {
+		follower = sim.members[0].core
+	}
+	base := follower.options.ElectionTicks
+	follower.becomeFollower(follower.term+1, 0)
+	follower.SetMessageTicks(base)
+	is.Equal(follower.followerPatience(), messagesPerElectionTimeout*base)
+	follower.followLeader(leader.id)
+	is.Equal(follower.followerPatience(), messagesPerElectionTimeout*base) // no interval is known
+	for _, interval := range []int{1, base, 1} {
+		for range interval {
+			follower.Tick()
+		}
+		follower.followLeader(leader.id)
+	}
+	is.Equal(follower.followerPatience(), silenceMargin*base)
+	follower.SetMessageTicks(0)
+	is.Equal(follower.followerPatience(), base)
+}
--- a/internal/raft/follower.go
+++ b/internal/raft/follower.go
@@ -18,11 +18,20 @@
 	}
 	c.leader = leader
 	c.electionTicks = 0
+	c.recordSilence()
 	c.campaigns = 0
 	c.deferred = false
 	c.promised = 0
 }
 
+// recordSilence records how long the leader was silent before a message of it.
+func (c *Core) recordSilence() {
+	if c.heardInTerm == c.term {
+		c.silences.record(c.silenceTicks)
+	}
+	c.heardInTerm, c.silenceTicks = c.term, 0
+}
+
 func (c *Core) handleAppend(m *apiv1.RaftMessage) {
 	if m.GetIndex() < c.log.committed {
 		c.acknowledge(m.GetFrom(), c.log.committed)
--- a/internal/raft/recent_max.go
+++ b/internal/raft/recent_max.go
@@ -17,3 +17,5 @@
 func (r *recentMax) record(value int) { r.current = max(r.current, value) }
 
 func (r *recentMax) value() int { return max(r.current, r.previous) }
+
+func (r *recentMax) reset() { r.ticks, r.current, r.previous = 0, 0, 0 }
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -44,11 +44,11 @@
 }
 
 // heardLeaderRecently reports whether the member heard from a leader within the
-// shortest election timeout. If so, it ignores requests for votes in a higher
+// time that it waits for the leader at least. If so, it ignores requests for votes in a higher
 // term, so that a removed or returning member can't depose a leader that a
 // majority follows.
 func (c *Core) heardLeaderRecently() bool {
-	return c.leader != 0 && c.electionTicks < c.shortestElectionTicks()
+	return c.leader != 0 && c.electionTicks < c.followerPatience()
 }
 
 // handleLowerTerm answers a sender that has missed the current term, so that it
--- a/internal/raft/tick.go
+++ b/internal/raft/tick.go
@@ -11,11 +11,16 @@
 	c.responses.tick()
 	c.campaignTicks++
 	c.promiseTicks++
+	c.silences.tick()
+	c.silenceTicks++
 	if c.role == Leader {
 		c.tickLeader()
 		return
 	}
 	c.electionTicks++
+	if c.role == Follower {
+		c.scaleElectionTimeout(c.followerPatience())
+	}
 	if c.electionTicks >= c.electionTimeoutTicks {
 		c.electionTicks = 0
 		c.continueElection()
--- a/internal/raft/timeouts.go
+++ b/internal/raft/timeouts.go
@@ -18,6 +18,8 @@
 	// responseMargin is how many times as long as lately the responses of a majority may take: a vote and a first append
 	// need as long as that each, and the same again as a margin.
 	responseMargin = 4
+	// silenceMargin is how many times as long as lately a leader may be silent.
+	silenceMargin = 2
 	// maxElectionStretch limits the timeouts, as a multiple of Options.ElectionTicks.
 	maxElectionStretch = 16
 	maxDoublings       = 5 // from the shortest wait for votes to that limit
@@ -27,25 +29,10 @@
 )
 
 // SetSyncTicks tells the core how many ticks a sync takes on this member at present.
-func (c *Core) SetSyncTicks(n int) {
-	before := c.shortestElectionTicks()
-	c.syncTicks = n
-	c.adjustElectionTimeout(before)
-}
+func (c *Core) SetSyncTicks(n int) { c.syncTicks = n }
 
 // SetMessageTicks tells the core how many ticks a message to the others takes at present.
-func (c *Core) SetMessageTicks(n int) {
-	before := c.shortestElectionTicks()
-	c.messageTicks = n
-	c.adjustElectionTimeout(before)
-}
-
-// adjustElectionTimeout scales the election timeout if the shortest one has changed.
-func (c *Core) adjustElectionTimeout(shortestBefore int) {
-	if c.role == Follower && c.shortestElectionTicks() != shortestBefore {
-		c.scaleElectionTimeout(c.shortestElectionTicks())
-	}
-}
+func (c *Core) SetMessageTicks(n int) { c.messageTicks = n }
 
 // shortestElectionTicks returns the shortest election timeout.
 func (c *Core) shortestElectionTicks() int {
@@ -54,6 +41,17 @@
 	return min(max(shortest, needed), maxElectionStretch*shortest)
 }
 
+// followerPatience returns the shortest time that a follower waits for the leader, or for one to be elected. Messages of a
+// leader follow each other at shorter intervals than each of them takes: once some have arrived, only their intervals count.
+func (c *Core) followerPatience() int {
+	shortest := c.shortestElectionTicks()
+	if c.leader == 0 || c.silences.value() == 0 {
+		return shortest
+	}
+	shown := max(c.options.ElectionTicks, syncsPerElectionTimeout*c.syncTicks, silenceMargin*c.silences.value())
+	return min(shortest, shown)
+}
+
 // shortestCampaignTicks returns the shortest wait for votes, unless campaigns have failed.
 func (c *Core) shortestCampaignTicks() int {
 	return max(1, c.shortestElectionTicks()/campaignRetryDivisor, messagesPerCampaign*c.messageTicks)
