--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -19,16 +19,26 @@
 	members *membershipLog
 	random  *rand.Rand
 
-	electionTicks        int     // since the last message from the leader, vote or pre-vote granted, or campaign begun
-	electionTimeoutTicks int     // randomized for each wait
-	electionDraw         float64 // of the current election timeout, in [0, 1)
-	heartbeatTicks       int     // since the last heartbeat sent as leader
-	syncTicks            int     // that a sync takes, see SetSyncTicks
-	messageTicks         int     // that a message takes, see SetMessageTicks
-	campaigns            int     // begun since a leader was last known, or before this member was elected
-	deferred             bool    // to another pre-candidate, see deferTo
-
-	votes          map[uint64]bool      // responses to a (pre-)candidate by incarnation; true: granted
+	electionTicks        int       // since the last message from the leader, vote or pre-vote granted, or campaign begun
+	electionTimeoutTicks int       // randomized for each wait
+	electionDraw         float64   // of the current election timeout, in [0, 1)
+	retryTicks           int       // until a (pre-)candidate asks again those that have not answered
+	heartbeatTicks       int       // since the last heartbeat sent as leader
+	syncTicks            int       // that a sync takes, see SetSyncTicks
+	messageTicks         int       // that a message takes, see SetMessageTicks
+	campaigns            int       // begun since a leader was last known, or before this member was elected
+	deferred             bool      // to another pre-candidate, see deferTo
+	campaignTicks        int       // since this member's pre-campaign, or its campaign in term, began
+	promised             uint64    // incarnation that was last granted a vote or pre-vote; 0: none
+	promiseTicks         int       // since then
+	quorumSilence        int       // ticks since a majority had responded to the leader, at the last tick
+	responses            recentMax // ticks that a majority took to respond to this member
+	silenceTicks         int       // since the last message from the leader
+	heardInTerm          uint64    // term of that message; 0: none
+	silences             recentMax // ticks between messages of a leader
+
+	preVotes       map[uint64]bool      // responses to a pre-candidate by incarnation; true: granted
+	votes          map[uint64]bool      // responses to this member's campaign in term, also after it gave up waiting; nil: none
 	ownVotePending bool                 // a candidate's own vote, to be counted once it is on disk
 	progress       map[uint64]*progress // of all members by incarnation; only on the leader
 	reads          readRounds           // only on the leader
@@ -47,13 +57,15 @@
 func New(options Options) *Core {
 	snapshot := options.Snapshot
 	c := &Core{
-		options: options,
-		id:      options.ID,
-		term:    options.HardState.Term,
-		vote:    options.HardState.Vote,
-		log:     newEntryLog(snapshot.GetIndex(), snapshot.GetTerm(), options.Entries),
-		members: newMembershipLog(snapshot.GetIndex(), snapshot.GetMembership()),
-		random:  rand.New(rand.NewPCG(options.Seed, options.ID)),
+		options:   options,
+		id:        options.ID,
+		term:      options.HardState.Term,
+		vote:      options.HardState.Vote,
+		log:       newEntryLog(snapshot.GetIndex(), snapshot.GetTerm(), options.Entries),
+		members:   newMembershipLog(snapshot.GetIndex(), snapshot.GetMembership()),
+		random:    rand.New(rand.NewPCG(options.Seed, options.ID)),
+		responses: recentMax{window: maxElectionStretch * options.ElectionTicks},
+		silences:  recentMax{window: maxElectionStretch * options.ElectionTicks},
 	}
 	c.members.append(options.Entries)
 	c.log.commitTo(min(options.HardState.Commit, c.log.last()))
@@ -109,7 +121,10 @@
 		c.campaigns-- // the one that was won
 	}
 	if term != c.term {
+		c.silences.reset()
 		c.vote = 0
+		c.votes = nil
+		c.ownVotePending = false
 	}
 	c.term = term
 	c.leader = leader
@@ -120,8 +135,7 @@
 // resetRole clears the state of the previous role and restarts the election
 // timer.
 func (c *Core) resetRole() {
-	c.votes = nil
-	c.ownVotePending = false
+	c.preVotes = nil
 	c.progress = nil
 	c.reads = readRounds{}
 	c.transferee = 0
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -44,11 +44,11 @@
 }
 
 // heardLeaderRecently reports whether the member heard from a leader within the
-// shortest election timeout. If so, it ignores requests for votes in a higher
+// time that it waits for the leader at least. If so, it ignores requests for votes in a higher
 // term, so that a removed or returning member can't depose a leader that a
 // majority follows.
 func (c *Core) heardLeaderRecently() bool {
-	return c.leader != 0 && c.electionTicks < c.shortestElectionTicks()
+	return c.leader != 0 && c.electionTicks < c.followerPatience()
 }
 
 // handleLowerTerm answers a sender that has missed the current term, so that it
@@ -57,6 +57,8 @@
 	switch {
 	case isFromLeader(m):
 		c.sendAfterSync(&apiv1.RaftMessage{Type: apiv1.RaftMessage_TYPE_APPEND_RESPONSE, To: m.GetFrom(), Reject: true})
+	case m.GetType() == apiv1.RaftMessage_TYPE_VOTE:
+		c.sendAfterSync(&apiv1.RaftMessage{Type: apiv1.RaftMessage_TYPE_VOTE_RESPONSE, To: m.GetFrom(), Reject: true})
 	case m.GetType() == apiv1.RaftMessage_TYPE_PRE_VOTE:
 		c.sendAfterSync(&apiv1.RaftMessage{Type: apiv1.RaftMessage_TYPE_PRE_VOTE_RESPONSE, To: m.GetFrom(), Reject: true})
 	}
@@ -70,12 +72,10 @@
 		c.handleVoteRequest(m)
 	case apiv1.RaftMessage_TYPE_PRE_VOTE_RESPONSE:
 		if c.role == PreCandidate && (m.GetReject() || m.GetTerm() == c.term+1) {
-			c.countVote(m.GetFrom(), !m.GetReject())
+			c.countPreVote(m.GetFrom(), !m.GetReject())
 		}
 	case apiv1.RaftMessage_TYPE_VOTE_RESPONSE:
-		if c.role == Candidate {
-			c.countVote(m.GetFrom(), !m.GetReject())
-		}
+		c.countVote(m.GetFrom(), !m.GetReject())
 	case apiv1.RaftMessage_TYPE_APPEND:
 		c.followLeader(m.GetFrom())
 		c.handleAppend(m)
