--- a/test/failure/core_disk_faults_test.go
+++ b/test/failure/core_disk_faults_test.go
@@ -70,9 +70,11 @@
 	}
 	further()
 	duration := randomDuration(r, 0, soakMaxFaultTime)
+	began := time.Now()
 	if !holdsWithin(coreRecoveryBound, c.publishNext) {
 		c.checker.recordViolation("no publication goes through within %v while %d disks are impaired: %s", coreRecoveryBound, len(impaired), impairment)
 	}
+	c.t.Logf("%7.3f s  with %d impaired disks (%s) a publication took %v", time.Since(c.checker.began).Seconds(), len(impaired), impairment, time.Since(began).Round(time.Millisecond))
 	c.wait(duration)
 	for _, p := range impaired {
 		p.impairDisk(diskWorks)
