test/failure: a job that is cancelled by nobody is reported with the cancellations that were sent

The check counts acknowledged cancellations only. The check is as strict as before; its message names what was sent.

--- a/test/failure/soak_checker_test.go
+++ b/test/failure/soak_checker_test.go
@@ -40,6 +40,7 @@
 	cancelledAt time.Time // first acknowledged cancellation; zero: none
 	allRefused  bool      // every response so far said that the job has not run
 	cancelSent  bool
+	cancels     []int // status codes of the answers to cancellations; 0: none came
 	started     bool
 	lastState   string // last state read; "": none or unknown job
 }
@@ -193,6 +194,13 @@
 	}
 }
 
+// cancelAnswered records the status code of the answer to a cancellation; 0: none came.
+func (c *soakChecker) cancelAnswered(id string, status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs[id].cancels = append(c.jobs[id].cancels, status)
+}
+
 // cancelAcknowledged records the first acknowledged cancellation of a job.
 func (c *soakChecker) cancelAcknowledged(id string) {
 	c.mu.Lock()
@@ -222,7 +230,7 @@
 				id, soakMaxAttempts, crashes, task)
 		}
 	case state == "cancelled" && j.cancelledAt.IsZero():
-		c.addViolation("%s is reported as cancelled, and nobody cancelled it", id)
+		c.addViolation("%s is reported as cancelled, and nobody cancelled it (a cancellation was sent: %v; answers: %v)", id, j.cancelSent, j.cancels)
 	}
 }
 
--- a/test/failure/soak_traffic_test.go
+++ b/test/failure/soak_traffic_test.go
@@ -43,9 +43,11 @@
 			c.readState(client, random, earlier)
 			if random.Intn(20) == 0 {
 				c.checker.cancelSent(earlier)
-				if c.callJob(client, random, http.MethodDelete, earlier, nil).status == http.StatusOK {
+				status := c.callJob(client, random, http.MethodDelete, earlier, nil).status
+				if status == http.StatusOK {
 					c.checker.cancelAcknowledged(earlier)
 				}
+				c.checker.cancelAnswered(earlier, status)
 			}
 			c.readPending(client, random)
 		}
