--- a/internal/raft/electorate.go
+++ b/internal/raft/electorate.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"math"
 	"slices"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
@@ -70,6 +71,12 @@
 	return reached
 }
 
+// majoritySilence returns the shortest time that a majority has not exceeded.
+func (e electorate) majoritySilence(silence func(id uint64) int) int {
+	reached := e.majorityValue(func(id uint64) uint64 { return math.MaxInt - uint64(silence(id)) })
+	return math.MaxInt - int(reached)
+}
+
 // voters returns the voters, those of the latest membership first.
 func (e electorate) voters() []*apiv1.MemberInfo {
 	voters := e.latest.GetVoters()
