raft: votes don't count once another member leads the term

Callers would see: two leaders in one term, and with that acknowledged work lost.

Cause: votes that arrive late count since as long as the candidate is in the same term. A candidate that follows the leader of that term kept its votes; once that leader has removed voters, the votes that it had may be a majority of those that are left, and the next response, also a repeated one, made it a leader.

Change: a member that hears the leader of its term forgets the votes for itself.

Evidence: TestVotesDoNotCountAfterAnotherWasElected failed before. go test ./internal/raft, with 3,000 schedules each: green. The schedules did not find it: a change of two voters within one term, after a split vote, with a response held back until then.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -135,7 +135,7 @@
 // countVote records a response to the campaign in the current term. The campaign
 // is won once a majority has granted its vote, and lost once no majority can grant
 // it. Votes that arrive after the candidate gave up waiting count as well while it
-// is in the same term: nobody else can have been elected in it, and its log has not changed.
+// is in the same term and has heard of no leader in it, so that its log has not changed.
 func (c *Core) countVote(from uint64, granted bool) {
 	if c.votes == nil || c.role == Leader {
 		return
--- a/internal/raft/election_test.go
+++ b/internal/raft/election_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 )
@@ -205,3 +206,34 @@
 	follower.SetMessageTicks(0)
 	is.Equal(follower.followerPatience(), base)
 }
+
+// The votes of a candidate that another one was preferred to became a majority once that leader had removed voters, so that
+// two members led the term.
+func TestVotesDoNotCountAfterAnotherWasElected(t *testing.T) {
+	is := is.New(t)
+	_, c := newCandidate(t)
+	voters := others(c)
+	c.Step(voteResponse(c, voters[0], true))
+	is.Equal(c.Role(), Candidate)
+
+	message := &apiv1.RaftMessage{
+		Type: apiv1.RaftMessage_TYPE_APPEND, From: voters[1], To: c.id, Term: c.term, Index: c.log.last(), LogTerm: c.log.lastTerm(),
+	}
+	membership := c.Membership()
+	for _, removed := range voters[2:] {
+		var err error
+		membership, err = Change{Kind: RemoveMember, Member: &apiv1.MemberInfo{Incarnation: removed}}.apply(membership)
+		is.NoErr(err)
+		data, err := proto.Marshal(membership)
+		is.NoErr(err)
+		index := c.log.last() + uint64(len(message.GetEntries())) + 1
+		message.Entries = append(message.Entries, &apiv1.LogEntry{
+			Index: index, Term: c.term, Kind: apiv1.EntryKind_ENTRY_KIND_MEMBERSHIP, Data: data,
+		})
+		message.Commit = index
+	}
+	c.Step(message)
+	is.Equal(len(c.Membership().GetVoters()), 3)
+	c.Step(voteResponse(c, voters[0], true)) // the response to a repeated request
+	is.Equal(c.Role(), Follower)
+}
--- a/internal/raft/follower.go
+++ b/internal/raft/follower.go
@@ -22,6 +22,7 @@
 	c.campaigns = 0
 	c.deferred = false
 	c.promised = 0
+	c.votes = nil // the leader may change the voters, so that they would become a majority
 }
 
 // recordSilence records how long the leader was silent before a message of it.
