raft: whoever responds to a vote tells what it knows to be committed

Callers would see: no leader for good, after a replacement of two voters and the loss of two more disks, if the member that knows of the commit has a shorter log than another one that is left.

Cause: a member that does not know that an entry with several changes is committed needs the voters before it. One survivor knew, and stored it, but could not win, as another one had a longer log; that one did not know.

Change: responses to votes and pre-votes, refusals too, have the commit index and the term of the entry there. The receiver takes it over if it has the same entry. An entry that one member knows to be committed is committed, so this is safe at any time.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -189,11 +189,7 @@
 	if preVote && granted && c.favoursAnother(m) {
 		return
 	}
-	response := &apiv1.RaftMessage{
-		Type:   apiv1.RaftMessage_TYPE_VOTE_RESPONSE,
-		To:     m.GetFrom(),
-		Reject: !granted,
-	}
+	response := c.voteResponse(apiv1.RaftMessage_TYPE_VOTE_RESPONSE, m.GetFrom(), granted)
 	if preVote {
 		response.Type = apiv1.RaftMessage_TYPE_PRE_VOTE_RESPONSE
 	}
@@ -212,6 +208,13 @@
 	c.sendAfterSync(response)
 }
 
+// voteResponse returns the response to a vote or pre-vote request. It has this member's commit index and the term of the
+// entry there, see learnCommit.
+func (c *Core) voteResponse(kind apiv1.RaftMessage_Type, to uint64, granted bool) *apiv1.RaftMessage {
+	term, _ := c.log.term(c.log.committed)
+	return &apiv1.RaftMessage{Type: kind, To: to, Reject: !granted, Commit: c.log.committed, LogTerm: term}
+}
+
 // promise records whom this member has last granted a vote or pre-vote, which has time to win then.
 func (c *Core) promise(candidate uint64) {
 	if c.promised != candidate {
--- a/internal/raft/joint_test.go
+++ b/internal/raft/joint_test.go
@@ -121,3 +121,47 @@
 		return survivor.core.Role() == Leader || learners[0].core.Role() == Leader || learners[1].core.Role() == Leader
 	}))
 }
+
+// One survivor knew that the replacement of two voters is committed, and another one had a longer log: neither could win.
+func TestCommitOfAReplacementIsLearnedFromAnyVoter(t *testing.T) {
+	is := is.New(t)
+	sim, leader := newSimulationWithLeader(t, 5)
+	learners := []*member{sim.addLearner(t, leader), sim.addLearner(t, leader)}
+	changes := replaceTwo(sim, learners...)
+	sim.isolate(sim.members[3], sim.members[4])
+	index, err := leader.core.ChangeMembership(changes...)
+	is.NoErr(err)
+	_, err = leader.core.Propose([]byte("later")) // pipelined, before the change is committed
+	is.NoErr(err)
+	survivor := sim.members[1]
+	knows := func() bool { return learners[0].core.CommitIndex() >= index }
+	withhold := func(m *apiv1.RaftMessage) bool {
+		if m.GetFrom() != leader.id {
+			return false
+		}
+		entries := m.GetEntries()
+		hasLater := len(entries) > 0 && entries[len(entries)-1].GetIndex() > index
+		switch m.GetTo() {
+		case survivor.id: // gets the later entry, and nothing that tells of the commit
+			return m.GetCommit() >= index
+		case learners[0].id: // learns of the commit, lacks the later entry
+			return hasLater || knows()
+		case learners[1].id:
+			return hasLater || m.GetCommit() >= index
+		}
+		return false
+	}
+	sim.deliverUnless(withhold)
+	leader.core.Tick()
+	sim.deliverUnless(withhold)
+	is.True(leader.core.CommitIndex() >= index)
+	is.True(survivor.core.LastIndex() > index && survivor.core.CommitIndex() < index)
+	is.True(learners[0].core.LastIndex() == index && knows())
+	sim.isolate(survivor, learners[0], learners[1]) // two more disks are lost
+	for _, m := range []*member{survivor, learners[0], learners[1]} {
+		sim.restart(m)
+	}
+	is.True(sim.runUntil(2000, func() bool {
+		return survivor.core.Role() == Leader || learners[0].core.Role() == Leader || learners[1].core.Role() == Leader
+	}))
+}
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -8,6 +8,7 @@
 	if m.GetTo() != c.id || m.GetFrom() == c.id {
 		return
 	}
+	c.learnCommit(m)
 	switch {
 	case m.GetTerm() > c.term:
 		if !c.handleHigherTerm(m) {
@@ -58,9 +59,20 @@
 	case isFromLeader(m):
 		c.sendAfterSync(&apiv1.RaftMessage{Type: apiv1.RaftMessage_TYPE_APPEND_RESPONSE, To: m.GetFrom(), Reject: true})
 	case m.GetType() == apiv1.RaftMessage_TYPE_VOTE:
-		c.sendAfterSync(&apiv1.RaftMessage{Type: apiv1.RaftMessage_TYPE_VOTE_RESPONSE, To: m.GetFrom(), Reject: true})
+		c.sendAfterSync(c.voteResponse(apiv1.RaftMessage_TYPE_VOTE_RESPONSE, m.GetFrom(), false))
 	case m.GetType() == apiv1.RaftMessage_TYPE_PRE_VOTE:
-		c.sendAfterSync(&apiv1.RaftMessage{Type: apiv1.RaftMessage_TYPE_PRE_VOTE_RESPONSE, To: m.GetFrom(), Reject: true})
+		c.sendAfterSync(c.voteResponse(apiv1.RaftMessage_TYPE_PRE_VOTE_RESPONSE, m.GetFrom(), false))
+	}
+}
+
+// learnCommit takes over the commit index of a voter that responds, whether or not it grants its vote, if this member has
+// the same entry there. It may show that votes of removed members are no longer needed.
+func (c *Core) learnCommit(m *apiv1.RaftMessage) {
+	switch m.GetType() {
+	case apiv1.RaftMessage_TYPE_PRE_VOTE_RESPONSE, apiv1.RaftMessage_TYPE_VOTE_RESPONSE:
+		if c.role != Leader && m.GetCommit() > c.log.committed && c.log.matches(m.GetCommit(), m.GetLogTerm()) {
+			c.log.commitTo(m.GetCommit())
+		}
 	}
 }
 
