control/repair: a learner is kept while the voter that it may replace is silent

Callers would see: a replacement that begins anew, with less of the time that it has.

Cause: since a silent voter whose VM accepts a connection is not dead before twice DeadAfter. Its learner was taken for unneeded at that moment ("every voter answers again") and removed, and added again up to 1.5 s later.

Change: a voter that is silent and does not answer as itself counts as one that a learner may replace.

Evidence: TestLearnerIsKeptWhileTheVoterOnlyAcceptsConnections failed before; the tests of decisions, among them the property tests, are green. The timed tests were not run with this commit alone.

--- a/internal/control/repair/next.go
+++ b/internal/control/repair/next.go
@@ -136,12 +136,12 @@
 }
 
 // removeUnneededLearner returns the removal of a learner that is dead or not needed,
-// if there is one. A voter that a new leader has not heard from may be a lost one that
-// a learner is to replace.
+// if there is one. A silent voter, or one that a new leader has not heard from, may be a lost
+// one that a learner is to replace.
 func (s *analysis) removeUnneededLearner() (Action, bool) {
 	places := s.places()
 	for _, voter := range s.Voters {
-		if voter.Unheard && !s.isDead(voter) {
+		if !s.isDead(voter) && (voter.Unheard || s.mayBeLost(voter)) {
 			places++
 		}
 	}
@@ -158,6 +158,13 @@
 	return Action{}, false
 }
 
+// mayBeLost reports whether the voter is silent and its process doesn't answer as itself, so that it may soon be replaced.
+func (s *analysis) mayBeLost(voter Member) bool {
+	identity := s.identityOf(voter)
+	return voter.SinceContact >= s.Policy.UnreachableAfter &&
+		(identity == nil || identity.GetIncarnation() != voter.Info.GetIncarnation())
+}
+
 // advanceLearners returns the changes that make voters of the learners that have caught up: one fills a vacancy, and
 // each of the others replaces a dead voter. While there is a vacancy, the voters that are left are all needed, so it is
 // filled by itself. A dead voter keeps its vote until its successor has one: it may have its disk, and be
