replica: a failed call to a process that is there leaves its call time

With two disks lost, one failed call to the slower of the two voters that are left dropped its time, so that elections waited only as long as the faster one needs (900 ms became 20 ms).

Change: a voter has no call time only if another incarnation responds or its VM refuses connections: there is no process of that voter.

--- a/internal/replica/call_times.go
+++ b/internal/replica/call_times.go
@@ -5,7 +5,10 @@
 	"context"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -22,7 +25,7 @@
 	mu          sync.Mutex
 	unanswered  []*openCall    // oldest first
 	respondedAt time.Time      // zero: never
-	failedAfter bool           // the latest call to end failed, and began after the last answered one
+	isAbsent    bool           // the latest call to end found no process of the member
 	latest      []answeredCall // at most maxLatestCalls, by ascending begin
 	failure     string         // why the last finished call failed; empty: it succeeded
 	diskLost    bool           // another incarnation responded to the last finished call
@@ -59,11 +62,11 @@
 	c.diskLost = isOtherIncarnation(err)
 	if err != nil {
 		c.failure = err.Error()
-		c.failedAfter = len(c.latest) == 0 || call.begun.After(c.latest[len(c.latest)-1].begun)
+		c.isAbsent = c.diskLost || errors.Is(err, syscall.ECONNREFUSED)
 		return
 	}
 	c.record(answeredCall{call.begun, now})
-	c.respondedAt, c.failure, c.failedAfter = now, "", false
+	c.respondedAt, c.failure, c.isAbsent = now, "", false
 }
 
 // cancelOldest cancels the oldest calls in progress while all of them hold more than the given number of bytes.
@@ -99,12 +102,12 @@
 }
 
 // typical returns how long calls take at present, the median of the latest ones. It returns false if none was answered
-// lately, if a later one failed, or the oldest one in progress has waited for longer than patience and more than twice as
+// lately, if the process is gone, or the oldest one in progress has waited for longer than patience and more than twice as
 // long.
 func (c *callTimes) typical(now time.Time, patience time.Duration) (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.failedAfter || now.Sub(c.respondedAt) > callTimesExpiry {
+	if c.isAbsent || now.Sub(c.respondedAt) > callTimesExpiry {
 		return 0, false
 	}
 	sorted := slices.SortedFunc(slices.Values(c.latest), func(a, b answeredCall) int { return cmp.Compare(a.took(), b.took()) })
