daemon: a process that starts handles SIGHUP

Operators send SIGHUP after a change of the settings.

Cause: the handler was installed by the watch of the settings, which begins once the roles are built. Until then the signal has its default effect.

The handler is installed before the settings are loaded now; a signal that arrives while the process starts is kept and reloads the settings as soon as the roles are there.

What remains: the few milliseconds of the Go runtime's start before main.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -49,6 +49,9 @@
 // RunOnPlatformWithDisk is RunOnPlatform with the file system of the data folder.
 func RunOnPlatformWithDisk(ctx context.Context, disk storage.FileSystem) error {
 	path := os.Getenv(platform.SettingsPathEnv)
+	// Without a handler, SIGHUP would end a process that starts or drains.
+	watch := newSettingsWatch(path)
+	defer watch.stop()
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
@@ -90,10 +93,9 @@
 	}
 	p.logger.Info("started", "control", settings.ServesControl(), "entry", settings.ServesCallers(),
 		"first_start", settings.Bootstrap, "seeds", settings.Seeds, "pid", os.Getpid())
-	// Settings are watched until the role has shut down: without a handler, SIGHUP would end a process that drains.
 	watchContext, stopWatch := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWatch()
-	go p.watchSettings(watchContext, path, role)
+	go watch.run(watchContext, func(signalled bool) { p.reload(path, role, signalled) })
 	err = role.run(ctx)
 	p.logger.Info("stopped", "error", err)
 	return err
--- a/internal/daemon/platform_reload.go
+++ b/internal/daemon/platform_reload.go
@@ -20,27 +20,41 @@
 	reload(changed *platform.Settings)
 }
 
-// watchSettings reloads the settings on SIGHUP, and when the file has changed,
-// until ctx ends.
-func (p *platformProcess) watchSettings(ctx context.Context, path string, role reloader) {
-	sighup := make(chan os.Signal, 1)
-	signal.Notify(sighup, syscall.SIGHUP)
-	defer signal.Stop(sighup)
-	ticker := time.NewTicker(settingsPollInterval)
+// settingsWatch tells when the settings are to be reloaded: on SIGHUP, and when the
+// file has changed.
+type settingsWatch struct {
+	path     string
+	interval time.Duration // at which the file is checked
+	sighup   chan os.Signal
+}
+
+// newSettingsWatch handles SIGHUP from here on, until stop is called.
+func newSettingsWatch(path string) *settingsWatch {
+	w := &settingsWatch{path: path, interval: settingsPollInterval, sighup: make(chan os.Signal, 1)}
+	signal.Notify(w.sighup, syscall.SIGHUP)
+	return w
+}
+
+// stop ends the handling of SIGHUP.
+func (w *settingsWatch) stop() { signal.Stop(w.sighup) }
+
+// run calls reload for each signal and each change of the file, until ctx ends.
+func (w *settingsWatch) run(ctx context.Context, reload func(signalled bool)) {
+	ticker := time.NewTicker(w.interval)
 	defer ticker.Stop()
-	last := modificationTime(path)
+	last := modificationTime(w.path)
 	for {
 		signalled := false
 		select {
 		case <-ctx.Done():
 			return
-		case <-sighup:
+		case <-w.sighup:
 			signalled = true
 		case <-ticker.C:
 		}
-		if now := modificationTime(path); signalled || now != last {
+		if now := modificationTime(w.path); signalled || now != last {
 			last = now
-			p.reload(path, role, signalled)
+			reload(signalled)
 		}
 	}
 }
