daemon: settings that change while a process starts are reloaded

If the file changed after it was loaded and before the roles were built, the change was not applied until the next one.

Cause: the watch took the file's modification time when it began, as the time of the settings in force, though they had been loaded before.

The time is taken before the settings are loaded now. TestSettingsThatChangeWhileTheProcessStartsAreReloaded changes the file between; before, the watch ran until its context ended, without a reload.

--- a/internal/daemon/platform_reload.go
+++ b/internal/daemon/platform_reload.go
@@ -21,16 +21,18 @@
 }
 
 // settingsWatch tells when the settings are to be reloaded: on SIGHUP, and when the
-// file has changed.
+// file has changed since the watch was created.
 type settingsWatch struct {
 	path     string
 	interval time.Duration // at which the file is checked
+	modified time.Time     // of the file, when it was last loaded
 	sighup   chan os.Signal
 }
 
-// newSettingsWatch handles SIGHUP from here on, until stop is called.
+// newSettingsWatch handles SIGHUP from here on, until stop is called. It is created before
+// the settings are loaded, so that no change is missed while the process starts.
 func newSettingsWatch(path string) *settingsWatch {
-	w := &settingsWatch{path: path, interval: settingsPollInterval, sighup: make(chan os.Signal, 1)}
+	w := &settingsWatch{path: path, interval: settingsPollInterval, modified: modificationTime(path), sighup: make(chan os.Signal, 1)}
 	signal.Notify(w.sighup, syscall.SIGHUP)
 	return w
 }
@@ -42,7 +44,6 @@
 func (w *settingsWatch) run(ctx context.Context, reload func(signalled bool)) {
 	ticker := time.NewTicker(w.interval)
 	defer ticker.Stop()
-	last := modificationTime(w.path)
 	for {
 		signalled := false
 		select {
@@ -52,8 +53,8 @@
 			signalled = true
 		case <-ticker.C:
 		}
-		if now := modificationTime(w.path); signalled || now != last {
-			last = now
+		if now := modificationTime(w.path); signalled || now != w.modified {
+			w.modified = now
 			reload(signalled)
 		}
 	}
--- a/internal/daemon/platform_reload_test.go
+++ b/internal/daemon/platform_reload_test.go
@@ -154,3 +154,23 @@
 	is.NoErr(<-ended)
 	is.True(reloaded) // the signal that arrived while the data folder was opened
 }
+
+// TestSettingsThatChangeWhileTheProcessStartsAreReloaded checks that a file that changes before the process watches it is loaded again.
+func TestSettingsThatChangeWhileTheProcessStartsAreReloaded(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "local.toml")
+	is.NoErr(os.WriteFile(path, []byte(platformSettings), 0o600))
+	watch := newSettingsWatch(path)
+	defer watch.stop()
+	watch.interval = time.Millisecond
+	is.NoErr(os.Chtimes(path, time.Time{}, watch.modified.Add(time.Second)))
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	reloads := 0
+	watch.run(ctx, func(signalled bool) {
+		is.True(!signalled)
+		reloads++
+		cancel()
+	})
+	is.Equal(reloads, 1)
+}
