replica: candidates wait for the majorities that they need during a replacement

Cause: a replacement of several voters needs a majority of the voters before it as well, until it is committed. The time that messages take, from which a candidate reckons how long it waits for votes, was that to the fastest majority of the new voters alone. These have just started and respond fast, so that the three that are left of those before, all of whose votes are needed, gave up before each other's votes arrived.

Change: the time is the longest of those to each majority that is needed. Whether a member is one of the voters itself is taken from the list, since a new voter is none of those before.

TestMessageTimeIsThatOfTheSlowestMajority fails before as well. Elections without a replacement reckon as before.

--- a/internal/raft/electorate.go
+++ b/internal/raft/electorate.go
@@ -109,5 +109,15 @@
 	return values[len(values)-quorum(membership)]
 }
 
+// Electorate returns the memberships of each of which a majority of the voters is needed: the latest one, and the one before
+// it while that still counts.
+func (c *Core) Electorate() []*apiv1.Membership {
+	e := c.electorate()
+	if e.previous == nil {
+		return []*apiv1.Membership{e.latest}
+	}
+	return []*apiv1.Membership{e.latest, e.previous}
+}
+
 // DepartingVoters returns the voters that the latest membership removes and whose agreement still counts.
 func (c *Core) DepartingVoters() []*apiv1.MemberInfo { return c.electorate().departing() }
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -94,7 +94,7 @@
 	}
 	r.tickedAt = r.tickedAt.Add(due * r.config.TickInterval)
 	r.core.SkipTicks(int(due) - 1)
-	if messageTime, known := r.transport.messageTime(r.core.Membership().GetVoters(), now); known {
+	if messageTime, known := r.transport.messageTime(r.core.Electorate(), r.store.Identity().Incarnation, now); known {
 		r.core.SetMessageTicks(int(messageTime / r.config.TickInterval))
 	}
 	r.core.Tick()
--- a/internal/replica/message_time_test.go
+++ b/internal/replica/message_time_test.go
@@ -10,28 +10,68 @@
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 )
 
+// senderWithCall returns a sender whose latest call took so long.
+func senderWithCall(now time.Time, took time.Duration) *sender {
+	s := &sender{}
+	begun := now.Add(-2 * time.Second)
+	s.times.latest = []answeredCall{{begun, begun.Add(took)}}
+	s.times.respondedAt = begun.Add(took)
+	return s
+}
+
+// votersOf returns a membership of these voters.
+func votersOf(incarnations ...uint64) *apiv1.Membership {
+	membership := &apiv1.Membership{}
+	for _, id := range incarnations {
+		membership.Voters = append(membership.Voters, &apiv1.MemberInfo{Incarnation: id})
+	}
+	return membership
+}
+
 // Two of five disks are lost, so both others' votes are needed. One failed call to the slower of them shortened the time
 // that messages take to a majority to that of the faster one.
 func TestFailedCallDoesNotShortenTheMessageTime(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	answered := func(took time.Duration) *sender {
-		s := &sender{}
-		begun := now.Add(-2 * time.Second)
-		s.times.latest = []answeredCall{{begun, begun.Add(took)}}
-		s.times.respondedAt = begun.Add(took)
-		return s
-	}
-	fast, slow := answered(20*time.Millisecond), answered(900*time.Millisecond)
+	fast, slow := senderWithCall(now, 20*time.Millisecond), senderWithCall(now, 900*time.Millisecond)
 	tr := &transport{config: Config{CallTimeout: 160 * time.Millisecond}, senders: map[uint64]*sender{2: fast, 3: slow}}
-	var voters []*apiv1.MemberInfo
-	for id := uint64(1); id <= 5; id++ {
-		voters = append(voters, &apiv1.MemberInfo{Incarnation: id})
-	}
-	before, known := tr.messageTime(voters, now)
+	electorate := []*apiv1.Membership{votersOf(1, 2, 3, 4, 5)}
+	before, known := tr.messageTime(electorate, 1, now)
 	is.True(known)
 	call := slow.times.begin(now, 1, func() {})
 	slow.times.end(now, call, errors.New("too many messages wait"))
-	after, known := tr.messageTime(voters, now)
+	after, known := tr.messageTime(electorate, 1, now)
 	is.True(!known || after >= before)
 }
+
+// The new voters of a replacement that is not committed respond fast, and the others, whose votes are needed, slowly. A
+// candidate took the time of the new voters for that of its messages.
+func TestMessageTimeIsThatOfTheSlowestMajority(t *testing.T) {
+	now := time.Now()
+	const fast, slow = 20 * time.Millisecond, 900 * time.Millisecond
+	before, after := votersOf(1, 2, 3, 4, 5), votersOf(1, 2, 3, 6, 7) // 4 and 5 have lost their disks
+	for name, tc := range map[string]struct {
+		self       uint64
+		electorate []*apiv1.Membership
+		want       time.Duration
+	}{
+		"after the commit":        {1, []*apiv1.Membership{after}, fast},
+		"before the commit":       {1, []*apiv1.Membership{after, before}, slow},
+		"a new voter, before":     {6, []*apiv1.Membership{after, before}, slow},
+		"a voter that is removed": {1, []*apiv1.Membership{votersOf(2, 6, 7)}, fast},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			senders := map[uint64]*sender{
+				1: senderWithCall(now, slow), 2: senderWithCall(now, slow), 3: senderWithCall(now, slow),
+				6: senderWithCall(now, fast), 7: senderWithCall(now, fast),
+			}
+			delete(senders, tc.self)
+			tr := &transport{config: Config{CallTimeout: 160 * time.Millisecond}, senders: senders}
+			got, known := tr.messageTime(tc.electorate, tc.self, now)
+			is.True(known)
+			is.True(got >= tc.want)
+			is.True(got < tc.want+100*time.Millisecond)
+		})
+	}
+}
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -86,14 +86,31 @@
 	return s.times.summary(now)
 }
 
-// messageTime returns how long messages take at present to as many other voters as a majority needs, the fastest ones.
+// messageTime returns how long messages of the member self take at present to the majorities that the electorate needs;
+// false if that is known of none.
+func (t *transport) messageTime(electorate []*apiv1.Membership, self uint64, now time.Time) (time.Duration, bool) {
+	longest, known := time.Duration(0), false
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, membership := range electorate {
+		if messageTime, ok := t.majorityTime(membership.GetVoters(), self, now); ok {
+			longest, known = max(longest, messageTime), true
+		}
+	}
+	return longest, known
+}
+
+// majorityTime returns how long messages take at present to as many other voters as a majority needs, the fastest ones.
 // While calls to all of them are known or in progress, as in an election, those that don't answer count with the time
 // that they have taken so far. Otherwise they are left out; false if none answers.
-func (t *transport) messageTime(voters []*apiv1.MemberInfo, now time.Time) (time.Duration, bool) {
+func (t *transport) majorityTime(voters []*apiv1.MemberInfo, self uint64, now time.Time) (time.Duration, bool) {
 	var known, waits []time.Duration
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	needed, others := len(voters)/2+1, len(voters)
 	for _, voter := range voters {
+		if voter.GetIncarnation() == self {
+			needed, others = needed-1, others-1
+			continue
+		}
 		s := t.senders[voter.GetIncarnation()]
 		if s == nil {
 			continue
@@ -105,11 +122,11 @@
 		}
 	}
 	times := known
-	if len(known)+len(waits) == len(voters)-1 {
+	if len(known)+len(waits) == others {
 		times = append(times, waits...)
 	}
 	slices.Sort(times)
-	if needed := min(len(voters)/2, len(times)); needed > 0 {
+	if needed = min(needed, len(times)); needed > 0 {
 		return times[needed-1], true
 	}
 	return 0, false
