replica: "no leader" tells of the voters that a replacement removes

While a replacement of several voters is not committed, a majority of the voters before it is needed as well.

"no leader" has the number of departing voters within the first 200 characters, and "no leader: voter" follows for each of them, too. TestLogTellsOfDepartingVotersWithoutLeader leaves the leader of five with one other voter and two new ones; before, no line named those that leave.

--- a/internal/replica/leaderless.go
+++ b/internal/replica/leaderless.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
@@ -36,10 +37,10 @@
 	r.logElection(now)
 }
 
-// logElection logs the state of this member's search for a leader, and a line for each other voter. What tells most
-// comes first, as collectors may cut lines.
+// logElection logs the state of this member's search for a leader, and a line for each other voter, also for the departing
+// ones, whose votes are needed until their replacement is committed. What tells most comes first, as collectors may cut lines.
 func (r *Replica) logElection(now time.Time) {
-	election, membership := r.core.Election(), r.core.Membership()
+	election, membership, departing := r.core.Election(), r.core.Membership(), r.core.DepartingVoters()
 	granted, refused := 0, 0
 	for _, voter := range membership.GetVoters() {
 		if vote, responded := election.Votes[voter.GetIncarnation()]; vote {
@@ -49,25 +50,25 @@
 		}
 	}
 	r.config.Logger.Info("no leader", "role", election.Role.String(), "campaigns", election.Campaigns,
-		"voters", len(membership.GetVoters()), "granted", granted, "refused", refused, "learners", len(membership.GetLearners()),
+		"voters", len(membership.GetVoters()), "granted", granted, "refused", refused, "departing", len(departing), "learners", len(membership.GetLearners()),
 		"sync_ms", r.syncTimes.typical().Milliseconds(), "since_ms", now.Sub(r.leaderless.since).Milliseconds(), "term", r.core.Term(),
 		"may_campaign", election.MayCampaign, "last_index", election.LastIndex, "last_term", election.LastTerm, "commit", r.core.CommitIndex(),
 		"incarnation", formatIncarnation(r.store.Identity().Incarnation))
-	for _, voter := range membership.GetVoters() {
+	for i, voter := range slices.Concat(membership.GetVoters(), departing) {
 		if voter.GetIncarnation() != r.store.Identity().Incarnation {
-			r.logVoter(now, voter, election.Votes)
+			r.logVoter(now, voter, election.Votes, i >= len(membership.GetVoters()))
 		}
 	}
 }
 
 // logVoter logs what is known of a voter during the search for a leader.
-func (r *Replica) logVoter(now time.Time, voter *apiv1.MemberInfo, votes map[uint64]bool) {
+func (r *Replica) logVoter(now time.Time, voter *apiv1.MemberInfo, votes map[uint64]bool, departing bool) {
 	id, vote := voter.GetIncarnation(), "none"
 	if granted, responded := votes[id]; responded {
 		vote = map[bool]string{true: "granted", false: "refused"}[granted]
 	}
 	calls := r.transport.callsTo(id, now)
-	r.config.Logger.Info("no leader: voter", "voter", voter.GetName(), "vote", vote, "process", calls.process(),
+	r.config.Logger.Info("no leader: voter", "voter", voter.GetName(), "vote", vote, "process", calls.process(), "departing", departing,
 		"response_ms_ago", calls.sinceResponse.Milliseconds(), "unanswered", calls.unanswered, "waited_ms", calls.waited.Milliseconds(),
 		"error", calls.failure, "address", voter.GetAddress(), "incarnation", formatIncarnation(id))
 }
--- a/internal/replica/leadership_test.go
+++ b/internal/replica/leadership_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/pistachioport/pistachioport/internal/raft"
 	"github.com/pistachioport/pistachioport/internal/replica"
 )
 
@@ -82,3 +83,47 @@
 			})
 	})
 }
+
+// While a replacement is not committed, the votes of those that it removes are needed. The lines did not mention them.
+func TestLogTellsOfDepartingVotersWithoutLeader(t *testing.T) {
+	is := is.New(t)
+	log := &logBuffer{}
+	adjust := func(config *replica.Config) { config.Logger = slog.New(slog.NewTextHandler(log, nil)) }
+	c := newFormedCluster(t, 5, adjust)
+	leader := c.leader()
+	var changes []raft.Change
+	removed := c.otherNodes(leader)[2:]
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	for i, lost := range removed {
+		learner := newNode(t, 6+i, adjust)
+		learner.start()
+		is.NoErr(retry(ctx, func() error { return leader.replica.AddLearner(ctx, learner.info()) }))
+		changes = append(changes, raft.Change{Kind: raft.RemoveMember, Member: lost.info()},
+			raft.Change{Kind: raft.PromoteLearner, Member: learner.info()})
+	}
+	for _, n := range c.otherNodes(leader)[1:] {
+		eventually(t, "learners that have caught up", func() bool {
+			status := leader.replica.Status()
+			for _, change := range changes {
+				if change.Kind == raft.PromoteLearner && status.Progress[change.Member.GetIncarnation()].MatchIndex < status.CommitIndex {
+					return false
+				}
+			}
+			return true
+		})
+		n.gate.shut()
+	}
+	is.True(leader.replica.ChangeMembership(ctx, changes...) != nil) // two of the five voters before are left
+	eventually(t, "the departing voters in the log", func() bool {
+		lines := strings.Split(log.String(), "\n")
+		logs := func(parts ...string) bool {
+			return slices.ContainsFunc(lines, func(line string) bool {
+				return !slices.ContainsFunc(parts, func(part string) bool { return !strings.Contains(line, part) })
+			})
+		}
+		return logs(`msg="no leader"`, "voters=5", "departing=2") &&
+			logs(`msg="no leader: voter" voter=`+removed[0].config.Name, "vote=none", "departing=true") &&
+			logs(`msg="no leader: voter" voter=`+removed[1].config.Name, "vote=none", "departing=true")
+	})
+}
