control: the tolerance counts the voters before a replacement until it is committed

The status of the log has the voters before while they count; the assessment with fewer tolerated losses is taken. TestToleranceIsReducedUntilAReplacementIsCommitted: before, 2 tolerated losses instead of 0.

--- a/internal/control/tolerance_watch.go
+++ b/internal/control/tolerance_watch.go
@@ -90,7 +90,7 @@
 // observe records the status as read at now.
 func (w *toleranceWatch) observe(now time.Time, status replica.Status) {
 	w.recordLag(now, status)
-	if w.tracker.Update(now, tolerance.Assess(w.voters(now, status), w.policy)) {
+	if w.tracker.Update(now, w.assess(now, status)) {
 		w.log(now, status)
 	}
 	w.learners.observe(now, status, w.server.Logger)
@@ -124,9 +124,21 @@
 	w.behindSince = since
 }
 
-func (w *toleranceWatch) voters(now time.Time, status replica.Status) []tolerance.Member {
+// assess returns the assessment of the voters, or of those before them if their majority is needed as well and in more danger.
+func (w *toleranceWatch) assess(now time.Time, status replica.Status) tolerance.Assessment {
+	assessment := tolerance.Assess(w.members(now, status, status.Membership.GetVoters()), w.policy)
+	if status.Previous != nil {
+		previous := tolerance.Assess(w.members(now, status, status.Previous.GetVoters()), w.policy)
+		if previous.Tolerated < assessment.Tolerated {
+			return previous
+		}
+	}
+	return assessment
+}
+
+func (w *toleranceWatch) members(now time.Time, status replica.Status, infos []*apiv1.MemberInfo) []tolerance.Member {
 	var voters []tolerance.Member
-	for _, info := range status.Membership.GetVoters() {
+	for _, info := range infos {
 		id := info.GetIncarnation()
 		voter := tolerance.Member{Name: info.GetName(), Incarnation: id, Replaced: w.replaced[id]}
 		if id != status.Incarnation {
--- a/internal/control/tolerance_watch_test.go
+++ b/internal/control/tolerance_watch_test.go
@@ -150,6 +150,35 @@
 	is.Equal(r.gauge("control.tolerated_losses.reduced_ms"), int64(0))
 }
 
+// The replaced voters are needed until their replacement is committed. The tolerance was full from its append on.
+func TestToleranceIsReducedUntilAReplacementIsCommitted(t *testing.T) {
+	is := is.New(t)
+	r := newWatchRig()
+	r.observe(time.Second)
+	r.silence(4)
+	r.silence(5)
+	r.observe(2 * time.Second)
+	is.Equal(r.gauge("control.tolerated_losses"), int64(0))
+	r.takeLines()
+
+	r.status.Previous = r.status.Membership
+	r.status.Membership = testMembership(3)
+	for id := uint64(8); id <= 9; id++ {
+		r.status.Progress[id] = replica.Progress{MatchIndex: testCommit}
+		r.status.Membership.Voters = append(r.status.Membership.Voters, &apiv1.MemberInfo{Incarnation: id, Name: fmt.Sprintf(testVoterPattern, id)})
+	}
+	r.observe(2 * time.Second)
+	is.Equal(r.gauge("control.tolerated_losses"), int64(0))
+	is.Equal(len(r.takeLines()), 0) // "tolerance full"
+
+	r.status.Previous = nil
+	r.observe(2 * time.Second)
+	lines := r.takeLines()
+	is.Equal(len(lines), 1)
+	is.True(strings.Contains(lines[0], `"level":"INFO","msg":"tolerance full"`))
+	is.Equal(r.gauge("control.tolerated_losses"), int64(2))
+}
+
 func TestVoterThatStaysBehindIsMissing(t *testing.T) {
 	is := is.New(t)
 	r := newWatchRig()
--- a/internal/replica/publish.go
+++ b/internal/replica/publish.go
@@ -32,7 +32,7 @@
 // Changed returned if cluster, term, leader or membership changed.
 func (r *Replica) publish() {
 	identity := r.store.Identity()
-	membership := r.core.Membership()
+	electorate := r.core.Electorate()
 	status := Status{
 		ClusterID:   identity.ClusterID,
 		Incarnation: identity.Incarnation,
@@ -41,7 +41,10 @@
 		LeaderAddr:  r.transport.addressOf(r.core.Leader()),
 		IsLeader:    r.core.Role() == raft.Leader,
 		CommitIndex: r.core.CommitIndex(),
-		Membership:  membership,
+		Membership:  electorate[0],
+	}
+	if len(electorate) > 1 {
+		status.Previous = electorate[1]
 	}
 	if status.IsLeader {
 		status.LeaderAddr = r.config.Address
