replica: only candidates wait for departing voters

Cause: took the longest of the times to each majority for all members. Only candidates need the votes of the voters before; a follower's patience with a silent leader and a leader's with silent followers grew with the calls to departing voters, which are gone and never answer.

Change: only pre-candidates and candidates reckon with both majorities.

--- a/internal/replica/election_model_voter_test.go
+++ b/internal/replica/election_model_voter_test.go
@@ -148,7 +148,7 @@
 	}
 	v.tickedAt = v.tickedAt.Add(due * modelTick)
 	v.core.SkipTicks(int(due) - 1)
-	if messageTime, known := v.transport.messageTime(v.core.Electorate(), v.id, v.model.now); known {
+	if messageTime, known := v.transport.messageTime(awaitedVoters(v.core), v.id, v.model.now); known {
 		v.core.SetMessageTicks(int(messageTime / modelTick))
 	}
 	v.core.Tick()
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -94,7 +94,7 @@
 	}
 	r.tickedAt = r.tickedAt.Add(due * r.config.TickInterval)
 	r.core.SkipTicks(int(due) - 1)
-	if messageTime, known := r.transport.messageTime(r.core.Electorate(), r.store.Identity().Incarnation, now); known {
+	if messageTime, known := r.transport.messageTime(awaitedVoters(r.core), r.store.Identity().Incarnation, now); known {
 		r.core.SetMessageTicks(int(messageTime / r.config.TickInterval))
 	}
 	r.core.Tick()
@@ -102,6 +102,16 @@
 	r.logLeaderless(now)
 }
 
+// awaitedVoters returns the memberships whose voters the member waits for. While a replacement is not committed, candidates need
+// the votes of those before it as well. A leader and its followers would wait for departing voters that are gone.
+func awaitedVoters(core *raft.Core) []*apiv1.Membership {
+	electorate := core.Electorate()
+	if role := core.Role(); role == raft.PreCandidate || role == raft.Candidate {
+		return electorate
+	}
+	return electorate[:1]
+}
+
 // maxBatchInputs bounds how many queued inputs of each kind the loop processes
 // before it does the core's resulting work.
 const maxBatchInputs = 1_024
--- a/internal/replica/message_time_test.go
+++ b/internal/replica/message_time_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -48,23 +49,31 @@
 // candidate took the time of the new voters for that of its messages.
 func TestMessageTimeIsThatOfTheSlowestMajority(t *testing.T) {
 	now := time.Now()
-	const fast, slow = 20 * time.Millisecond, 900 * time.Millisecond
+	fast, slow := 20*time.Millisecond, 900*time.Millisecond
 	before, after := votersOf(1, 2, 3, 4, 5), votersOf(1, 2, 3, 6, 7) // 4 and 5 have lost their disks
 	for name, tc := range map[string]struct {
 		self       uint64
 		electorate []*apiv1.Membership
+		slow       []uint64 // voters; calls to the others are fast
 		want       time.Duration
 	}{
-		"after the commit":        {1, []*apiv1.Membership{after}, fast},
-		"before the commit":       {1, []*apiv1.Membership{after, before}, slow},
-		"a new voter, before":     {6, []*apiv1.Membership{after, before}, slow},
-		"a voter that is removed": {1, []*apiv1.Membership{votersOf(2, 6, 7)}, fast},
+		"after the commit":                      {1, []*apiv1.Membership{after}, []uint64{2, 3}, fast},
+		"before the commit":                     {1, []*apiv1.Membership{after, before}, []uint64{2, 3}, slow},
+		"before the commit, new voters slow":    {1, []*apiv1.Membership{after, before}, []uint64{3, 6, 7}, slow},
+		"a new voter needs three of those left": {6, []*apiv1.Membership{after, before}, []uint64{3}, slow},
+		"a new voter after the commit":          {6, []*apiv1.Membership{after}, []uint64{3}, fast},
+		"a voter that is removed":               {1, []*apiv1.Membership{votersOf(2, 6, 7)}, []uint64{2}, fast},
+		"a voter that is removed needs two":     {1, []*apiv1.Membership{votersOf(2, 6, 7)}, []uint64{2, 6}, slow},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			senders := map[uint64]*sender{
-				1: senderWithCall(now, slow), 2: senderWithCall(now, slow), 3: senderWithCall(now, slow),
-				6: senderWithCall(now, fast), 7: senderWithCall(now, fast),
+			senders := make(map[uint64]*sender)
+			for _, id := range []uint64{1, 2, 3, 6, 7} {
+				took := fast
+				if slices.Contains(tc.slow, id) {
+					took = slow
+				}
+				senders[id] = senderWithCall(now, took)
 			}
 			delete(senders, tc.self)
 			tr := &transport{config: Config{CallTimeout: 160 * time.Millisecond}, senders: senders}
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -86,13 +86,13 @@
 	return s.times.summary(now)
 }
 
-// messageTime returns how long messages of the member self take at present to the majorities that the electorate needs;
-// false if that is known of none.
-func (t *transport) messageTime(electorate []*apiv1.Membership, self uint64, now time.Time) (time.Duration, bool) {
+// messageTime returns how long messages of the member self take at present to majorities of each of the memberships. Those
+// of which that is not known are left out; false if it is known of none.
+func (t *transport) messageTime(memberships []*apiv1.Membership, self uint64, now time.Time) (time.Duration, bool) {
 	longest, known := time.Duration(0), false
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, membership := range electorate {
+	for _, membership := range memberships {
 		if messageTime, ok := t.majorityTime(membership.GetVoters(), self, now); ok {
 			longest, known = max(longest, messageTime), true
 		}
