control: the tolerance is undecided until departing voters are heard

Both are undecided if one is, and the majority with the smaller margin is the one that is told of. TestToleranceIsUndecidedUntilDepartingVotersAreHeard and TestMajorityInMoreDangerIsLogged fail before.

pistachioctl status still names no departing voters: it lists the members.

--- a/internal/control/tolerance/assessment.go
+++ b/internal/control/tolerance/assessment.go
@@ -21,11 +21,13 @@
 		a.Live++
 		a.Undecided = a.Undecided || voter.Unheard
 	}
-	quorum := len(voters)/2 + 1
-	a.Tolerated = max(0, a.Live-quorum)
+	a.Tolerated = max(0, a.Margin())
 	return a
 }
 
+// Margin returns how many live voters there are beyond a majority; less than 0 if they are none.
+func (a Assessment) Margin() int { return a.Live - (a.Voters/2 + 1) }
+
 // IsReduced reports whether fewer losses are tolerated than when all is well.
 func (a Assessment) IsReduced() bool { return a.Tolerated < a.Target }
 
--- a/internal/control/tolerance_watch.go
+++ b/internal/control/tolerance_watch.go
@@ -129,9 +129,11 @@
 	assessment := tolerance.Assess(w.members(now, status, status.Membership.GetVoters()), w.policy)
 	if status.Previous != nil {
 		previous := tolerance.Assess(w.members(now, status, status.Previous.GetVoters()), w.policy)
-		if previous.Tolerated < assessment.Tolerated {
-			return previous
+		undecided := assessment.Undecided || previous.Undecided
+		if previous.Margin() < assessment.Margin() {
+			assessment = previous
 		}
+		assessment.Undecided = undecided
 	}
 	return assessment
 }
--- a/internal/control/tolerance_watch_test.go
+++ b/internal/control/tolerance_watch_test.go
@@ -150,6 +150,16 @@
 	is.Equal(r.gauge("control.tolerated_losses.reduced_ms"), int64(0))
 }
 
+// replaceTwo replaces the voters 4 and 5 by 8 and 9 in an entry that is not committed.
+func (r *watchRig) replaceTwo() {
+	r.status.Previous = r.status.Membership
+	r.status.Membership = testMembership(3)
+	for id := uint64(8); id <= 9; id++ {
+		r.status.Progress[id] = replica.Progress{MatchIndex: testCommit}
+		r.status.Membership.Voters = append(r.status.Membership.Voters, &apiv1.MemberInfo{Incarnation: id, Name: fmt.Sprintf(testVoterPattern, id)})
+	}
+}
+
 // The replaced voters are needed until their replacement is committed. The tolerance was full from its append on.
 func TestToleranceIsReducedUntilAReplacementIsCommitted(t *testing.T) {
 	is := is.New(t)
@@ -161,12 +171,7 @@
 	is.Equal(r.gauge("control.tolerated_losses"), int64(0))
 	r.takeLines()
 
-	r.status.Previous = r.status.Membership
-	r.status.Membership = testMembership(3)
-	for id := uint64(8); id <= 9; id++ {
-		r.status.Progress[id] = replica.Progress{MatchIndex: testCommit}
-		r.status.Membership.Voters = append(r.status.Membership.Voters, &apiv1.MemberInfo{Incarnation: id, Name: fmt.Sprintf(testVoterPattern, id)})
-	}
+	r.replaceTwo()
 	r.observe(2 * time.Second)
 	is.Equal(r.gauge("control.tolerated_losses"), int64(0))
 	is.Equal(len(r.takeLines()), 0) // "tolerance full"
@@ -179,6 +184,34 @@
 	is.Equal(r.gauge("control.tolerated_losses"), int64(2))
 }
 
+// A new leader that had not heard the departing voters took the tolerance for full.
+func TestToleranceIsUndecidedUntilDepartingVotersAreHeard(t *testing.T) {
+	is := is.New(t)
+	r := newWatchRig()
+	r.replaceTwo()
+	for id := uint64(4); id <= 5; id++ {
+		r.status.Progress[id] = replica.Progress{SinceContact: time.Nanosecond}
+	}
+	r.observe(400 * time.Millisecond)
+	is.Equal(r.gauge("control.tolerated_losses"), int64(toleranceUnknown))
+	r.observe(2 * time.Second)
+	is.Equal(r.gauge("control.tolerated_losses"), int64(0))
+}
+
+// Neither majority bears a loss, and that of the voters before is missing.
+func TestMajorityInMoreDangerIsLogged(t *testing.T) {
+	is := is.New(t)
+	r := newWatchRig()
+	r.replaceTwo()
+	for id := uint64(3); id <= 5; id++ {
+		r.silence(id)
+	}
+	r.silence(9)
+	r.observe(2 * time.Second)
+	lines := r.takeLines()
+	is.True(strings.Contains(keptPart(lines[len(lines)-1]), `"voters":5,"live":2,"missing":"edge-region-a-3 edge-region-a-4`))
+}
+
 func TestVoterThatStaysBehindIsMissing(t *testing.T) {
 	is := is.New(t)
 	r := newWatchRig()
