replica: "no leader" counts the votes of the majority before a replacement

With departing=2 a line "voters 5, granted 4" looked won although the majority before was missing: granted_before tells how many of those voters have granted theirs. In "no leader: voter", departing comes after response_ms_ago, which it had pushed out of the first 200 characters. Status.Previous tells when it is nil. The test asks for ErrIndeterminate: any other error means that the replacement was not appended.

--- a/internal/replica/leaderless.go
+++ b/internal/replica/leaderless.go
@@ -41,16 +41,14 @@
 // ones, whose votes are needed until their replacement is committed. What tells most comes first, as collectors may cut lines.
 func (r *Replica) logElection(now time.Time) {
 	election, membership, departing := r.core.Election(), r.core.Membership(), r.core.DepartingVoters()
-	granted, refused := 0, 0
-	for _, voter := range membership.GetVoters() {
-		if vote, responded := election.Votes[voter.GetIncarnation()]; vote {
-			granted++
-		} else if responded {
-			refused++
-		}
+	granted, refused := countVotes(membership, election.Votes)
+	grantedBefore := 0
+	if electorate := r.core.Electorate(); len(electorate) > 1 {
+		grantedBefore, _ = countVotes(electorate[1], election.Votes)
 	}
 	r.config.Logger.Info("no leader", "role", election.Role.String(), "campaigns", election.Campaigns,
-		"voters", len(membership.GetVoters()), "granted", granted, "refused", refused, "departing", len(departing), "learners", len(membership.GetLearners()),
+		"voters", len(membership.GetVoters()), "granted", granted, "refused", refused, "departing", len(departing), "granted_before", grantedBefore,
+		"learners", len(membership.GetLearners()),
 		"sync_ms", r.syncTimes.typical().Milliseconds(), "since_ms", now.Sub(r.leaderless.since).Milliseconds(), "term", r.core.Term(),
 		"may_campaign", election.MayCampaign, "last_index", election.LastIndex, "last_term", election.LastTerm, "commit", r.core.CommitIndex(),
 		"incarnation", formatIncarnation(r.store.Identity().Incarnation))
@@ -61,6 +59,18 @@
 	}
 }
 
+// countVotes returns how many of the membership's voters have granted and refused their votes.
+func countVotes(membership *apiv1.Membership, votes map[uint64]bool) (granted, refused int) {
+	for _, voter := range membership.GetVoters() {
+		if vote, responded := votes[voter.GetIncarnation()]; vote {
+			granted++
+		} else if responded {
+			refused++
+		}
+	}
+	return granted, refused
+}
+
 // logVoter logs what is known of a voter during the search for a leader.
 func (r *Replica) logVoter(now time.Time, voter *apiv1.MemberInfo, votes map[uint64]bool, departing bool) {
 	id, vote := voter.GetIncarnation(), "none"
@@ -68,8 +78,8 @@
 		vote = map[bool]string{true: "granted", false: "refused"}[granted]
 	}
 	calls := r.transport.callsTo(id, now)
-	r.config.Logger.Info("no leader: voter", "voter", voter.GetName(), "vote", vote, "process", calls.process(), "departing", departing,
-		"response_ms_ago", calls.sinceResponse.Milliseconds(), "unanswered", calls.unanswered, "waited_ms", calls.waited.Milliseconds(),
+	r.config.Logger.Info("no leader: voter", "voter", voter.GetName(), "vote", vote, "process", calls.process(),
+		"response_ms_ago", calls.sinceResponse.Milliseconds(), "departing", departing, "unanswered", calls.unanswered, "waited_ms", calls.waited.Milliseconds(),
 		"error", calls.failure, "address", voter.GetAddress(), "incarnation", formatIncarnation(id))
 }
 
--- a/internal/replica/leadership_test.go
+++ b/internal/replica/leadership_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/pistachioport/pistachioport/internal/raft"
@@ -114,7 +115,8 @@
 		})
 		n.gate.shut()
 	}
-	is.True(leader.replica.ChangeMembership(ctx, changes...) != nil) // two of the five voters before are left
+	err := leader.replica.ChangeMembership(ctx, changes...)
+	is.True(errors.Is(err, replica.ErrIndeterminate)) // two of the five voters before are left
 	eventually(t, "the departing voters in the log", func() bool {
 		lines := strings.Split(log.String(), "\n")
 		logs := func(parts ...string) bool {
@@ -122,7 +124,7 @@
 				return !slices.ContainsFunc(parts, func(part string) bool { return !strings.Contains(line, part) })
 			})
 		}
-		return logs(`msg="no leader"`, "voters=5", "departing=2") &&
+		return logs(`msg="no leader"`, "voters=5", "departing=2", "granted_before=") &&
 			logs(`msg="no leader: voter" voter=`+removed[0].config.Name, "vote=none", "departing=true") &&
 			logs(`msg="no leader: voter" voter=`+removed[1].config.Name, "vote=none", "departing=true")
 	})
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -17,7 +17,7 @@
 	CommitIndex  uint64
 	AppliedIndex uint64 // last index applied to the state machine
 	Membership   *apiv1.Membership
-	Previous     *apiv1.Membership   // a majority of its voters is needed as well until Membership is committed; nil: it is
+	Previous     *apiv1.Membership   // a majority of its voters is needed as well; nil: that of Membership is enough. Changed doesn't tell of its end
 	Problem      string              // why this member can't take part at present; empty: it can
 	Progress     map[uint64]Progress // of the other members by incarnation; only on the leader
 }
