--- a/internal/daemon/platform_reload_test.go
+++ b/internal/daemon/platform_reload_test.go
@@ -136,7 +136,11 @@
 		ended <- RunOnPlatformWithDisk(ctx, disk)
 		_ = output.Close()
 	}()
-	<-disk.opening
+	select {
+	case <-disk.opening:
+	case err := <-ended:
+		t.Fatal("the process ended before it opened its folder: ", err)
+	}
 	os.Stdout = stdout // the process has its writer
 	sendHangup(is)
 	time.Sleep(50 * time.Millisecond) // until the signal is delivered; the process has no handler to wait for if the test fails
