--- a/internal/daemon/member_calls_test.go
+++ b/internal/daemon/member_calls_test.go
@@ -224,7 +224,7 @@
 	is := is.New(t)
 	const trials = 20
 	failed := 0
-	for range trials {
+	for trial := range trials {
 		s := newInternalServer(t)
 		for range s.limit {
 			s.open("/")
@@ -240,8 +240,9 @@
 			s.open("/")
 		}
 		s.serve()
-		if <-result != nil {
+		if err := <-result; err != nil {
 			failed++
+			t.Logf("trial %d: %v, after %d connections", trial, err, m.opened.Load())
 		}
 	}
 	is.Equal(failed, 0)
