dispatch, control: a report of more capacity that arrives late counts for nothing

Cause: a worker shrinks, grows and shrinks again. The report of the time between arrives late, at a leader that got none of the later reports. Those change nothing, so the processes that got them don't pass them on, and the record still has the sequence of the first shrink: the late report is newer than the record and restores the capacity until the next report.

Change: reports carry the worker's clock, and the leader, which reads that clock with each hold, ignores one that adds to the capacity and is older than the interval between reports: the next one tells. Reports of less capacity, of draining and of leaving count at any age.

Ruled out: a sequence forgotten after reportMemory (10 s; the late report was 5 s old). Passing on the sequence of every report to the leader would do as well, for 2,000 messages a second at 3,000 workers.

--- a/internal/control/worker_reports.go
+++ b/internal/control/worker_reports.go
@@ -62,11 +62,15 @@
 // commitReports commits the reports that change anything. It fails unless this process
 // leads.
 func (s *Server) commitReports(ctx context.Context, records []*apiv1.PoolWorker) error {
-	if _, err := s.dispatchLeadership(); err != nil {
+	l, err := s.dispatchLeadership()
+	if err != nil {
 		return err
 	}
 	command := &apiv1.JobsCommand{}
 	for _, record := range records {
+		if l.dispatch.IsOutdated(record) {
+			continue
+		}
 		if s.reportOrder.Changes(s.jobsTable().Worker(record.GetId()), record, time.Now()) {
 			command.Workers = append(command.Workers, record)
 		}
@@ -74,7 +78,7 @@
 	if len(command.GetWorkers()) == 0 {
 		return nil
 	}
-	_, err := s.proposeJobs(ctx, command)
+	_, err = s.proposeJobs(ctx, command)
 	return err
 }
 
--- a/internal/control/worker_reports_test.go
+++ b/internal/control/worker_reports_test.go
@@ -259,3 +259,49 @@
 	r.log.becomeFollower()
 	r.eventually("the leadership has ended", func() bool { return sentAway() == 0 })
 }
+
+// reachableWorkers is a dispatch.WorkerClient of workers without runs that answer polls at once.
+type reachableWorkers struct {
+	silentWorkers
+	clockMs atomic.Int64 // reading of the workers' clocks
+	polls   atomic.Int64 // answered
+}
+
+func (w *reachableWorkers) Hold(ctx context.Context, _ *apiv1.PoolWorker, _ dispatch.HoldRequest) (dispatch.HoldResponse, error) {
+	if w.polls.Add(1) > 1 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return dispatch.HoldResponse{ClockMs: w.clockMs.Load(), BornUnixMs: 1}, ctx.Err()
+}
+
+// A worker shrinks, grows and shrinks again. Its report of the time between arrives at the leader, late, while
+// the later ones arrive at another process, where they change nothing.
+func TestLateReportDoesNotRestoreACapacityThatHasShrunk(t *testing.T) {
+	is := is.New(t)
+	leader, follower := newDispatchRig(t), newDispatchRig(t)
+	workers := &reachableWorkers{}
+	leader.server.Dispatch.WorkerClient = workers
+	leader.leadDispatch()
+	follower.follow(leader)
+	report := func(to *rig, sequence, clockMs, cpu int64) {
+		worker := readyWorker(1)
+		worker.Sequence, worker.ClockMs, worker.CpuMillis = sequence, clockMs, cpu
+		is.NoErr(to.server.ReportWorker(t.Context(), worker))
+		if to == leader {
+			follower.jobs.Apply(0, &apiv1.JobsCommand{Workers: []*apiv1.PoolWorker{leader.jobs.Worker("w1")}})
+		}
+	}
+	pollAt := func(clockMs int64) { // until an answer with the reading was handled
+		workers.clockMs.Store(clockMs)
+		polls := workers.polls.Load()
+		leader.eventually("the worker is polled", func() bool { return workers.polls.Load() > polls+2 })
+	}
+	report(leader, 1, 1000, 4000)
+	report(leader, 2, 2000, 1000)
+	report(follower, 4, 4000, 1000)
+	pollAt(5000)
+	report(leader, 3, 3000, 4000)
+	is.Equal(leader.jobs.Worker("w1").GetCpuMillis(), int64(1000))
+	report(leader, 5, 5000, 4000)
+	is.Equal(leader.jobs.Worker("w1").GetCpuMillis(), int64(4000))
+}
--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -17,6 +17,7 @@
 	urgentPasses, urgentPassMicros                               metrics.Counter
 	unitsTried, unitsWithoutRoom                                 metrics.Counter   // attempts of passes to place units, and those that found no worker
 	reportsBeforeAck                                             metrics.Counter   // polls that only showed to which incarnation a connection leads
+	outdatedReports                                              metrics.Counter   // of workers, see IsOutdated
 	workerConnections                                            metrics.Counter   // opened to workers
 	urgentFirstStarts, urgentFirstWaitMs                         metrics.Counter   // first starts sent of jobs of the highest priority, and their waits from acceptance
 	otherFirstStarts, otherFirstWaitMs                           metrics.Counter   // the same of other jobs
@@ -61,6 +62,7 @@
 		passes: counter("passes.run"), passMicros: counter("passes.us"),
 		urgentPasses: counter("urgent_passes.run"), urgentPassMicros: counter("urgent_passes.us"),
 		unitsTried: counter("passes.units"), unitsWithoutRoom: counter("passes.units_without_room"),
+		outdatedReports:  counter("reports.outdated"),
 		reportsBeforeAck: counter("holds.before_ack"), workerConnections: metrics.GetOrRegisterCounter(WorkerConnectionsMetric, registry),
 		urgentFirstStarts: counter("first_starts.urgent"), urgentFirstWaitMs: counter("first_starts.urgent_wait_ms"),
 		otherFirstStarts: counter("first_starts.other"), otherFirstWaitMs: counter("first_starts.other_wait_ms"),
