connlimit: a connection whose request has arrived is not taken for silent

The same listener bounds the connections of callers and workers.

Cause: at the limit a new connection takes the place of the oldest one without a request, if the server has waited for its bytes for 5 ms. A read that lasts was taken for that wait, but a process that has no processor time doesn't end a read whose bytes are there. Besides, the oldest one was looked at first and evicted later, when it might be another one.

The look and the eviction are one step.

The test slept 5 ms for the member's request to be sent; it waits for that now and checks the same.

--- a/internal/bodybudget/header_listener.go
+++ b/internal/bodybudget/header_listener.go
@@ -98,6 +98,9 @@
 	return n, err
 }
 
+// NetConn returns the wrapped connection.
+func (c *headerConn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite closes the connection for writing, which the server does so that a client gets the answer before the
 // connection ends.
 func (c *headerConn) CloseWrite() error {
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -43,7 +43,7 @@
 	// Of *trackedConn, oldest first: without a request yet; between requests, by kind.
 	fresh      *list.List
 	idle       [kinds]*list.List
-	freshEnded chan struct{} // receives an element when a connection has left fresh
+	changed    chan struct{} // receives an element when a connection has left fresh
 	fullLogged time.Time
 }
 
@@ -74,7 +74,7 @@
 		open:        metrics.GetOrRegisterGauge("connections."+name+".open", registry),
 		evicted:     metrics.GetOrRegisterCounter("connections."+name+".evicted", registry),
 		refused:     metrics.GetOrRegisterCounter("connections."+name+".refused", registry),
-		connections: make(map[net.Conn]connection), fresh: list.New(), freshEnded: make(chan struct{}, 1),
+		connections: make(map[net.Conn]connection), fresh: list.New(), changed: make(chan struct{}, 1),
 	}
 	for kind := range l.idle {
 		l.idle[kind] = list.New()
@@ -89,9 +89,8 @@
 		if err != nil {
 			return nil, err
 		}
-		conn := &trackedConn{Conn: inner}
-		l.awaitReads()
-		evicted, ok := l.admit(conn)
+		conn := newTrackedConn(inner)
+		evicted, ok := l.awaitAdmission(conn)
 		for _, other := range evicted {
 			_ = other.Close()
 		}
@@ -105,43 +104,57 @@
 const (
 	// silence is the time that the server waits for a request before a connection counts as silent.
 	silence = 5 * time.Millisecond
-	// maxReadWait bounds the wait for the server to look for the requests of connections.
-	maxReadWait = time.Second
+	// maxPlaceWait bounds the wait for the server to look for the requests of connections.
+	maxPlaceWait = time.Second
 )
 
-// awaitReads waits while the limit is reached and the oldest connection without a request may still have sent one.
-func (l *Listener) awaitReads() {
-	for deadline := time.Now().Add(maxReadWait); l.mayHoldRequest() && time.Now().Before(deadline); {
+// awaitAdmission registers a new connection like admit, once it is settled whether there is a place for it.
+func (l *Listener) awaitAdmission(conn net.Conn) (evicted []net.Conn, ok bool) {
+	for deadline := time.Now().Add(maxPlaceWait); ; {
+		evicted, result := l.admit(conn, time.Now().Before(deadline))
+		if result != admissionPending {
+			return evicted, result == admissionGranted
+		}
 		timer := time.NewTimer(silence)
 		select {
-		case <-l.freshEnded:
+		case <-l.changed:
 		case <-timer.C:
 		}
 		timer.Stop()
 	}
 }
 
-// mayHoldRequest reports whether the limit is reached and the server may not have seen the request of the oldest connection
-// without one.
-func (l *Listener) mayHoldRequest() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+// isPlacePending reports whether the limit is reached and the server may not have seen the request of the oldest connection
+// without one. The caller holds the lock.
+func (l *Listener) isPlacePending(now time.Time) bool {
 	if len(l.connections) < l.limits.Connections || l.fresh.Len() == 0 {
 		return false
 	}
-	return !l.fresh.Front().Value.(*trackedConn).isSilent(time.Now())
+	return !l.fresh.Front().Value.(*trackedConn).isSilent(now)
 }
 
+// admission is the result of an attempt to register a new connection.
+type admission int
+
+const (
+	admissionGranted admission = iota
+	admissionRefused
+	admissionPending // it is not settled yet
+)
+
 // maxEvictedPerAdmission bounds the connections that are closed for a new one. More than one lets their number fall
 // after the limit was lowered.
 const maxEvictedPerAdmission = 2
 
-// admit registers a new connection. If the limit is reached, it returns others to close instead, or false if none may be
-// closed.
-func (l *Listener) admit(conn net.Conn) (evicted []net.Conn, ok bool) {
+// admit registers a new connection. If the limit is reached, it returns others to close instead, or refuses if none may be
+// closed. It decides in any case unless it may wait.
+func (l *Listener) admit(conn net.Conn, mayWait bool) (evicted []net.Conn, result admission) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
+	if mayWait && l.isPlacePending(now) {
+		return nil, admissionPending
+	}
 	for len(l.connections) >= l.limits.Connections && len(evicted) < maxEvictedPerAdmission {
 		l.logFull()
 		victim := l.victim(now)
@@ -153,12 +166,12 @@
 	}
 	if len(l.connections) >= l.limits.Connections && len(evicted) == 0 {
 		l.refused.Inc(1)
-		return nil, false
+		return nil, admissionRefused
 	}
 	l.counts[kindUnknown]++
 	l.connections[conn] = connection{kindUnknown, l.fresh, l.fresh.PushBack(conn), now}
 	l.open.Update(int64(len(l.connections)))
-	return evicted, true
+	return evicted, admissionGranted
 }
 
 // victim returns the connection to close for a new one; nil: none may be closed. The caller holds the lock.
@@ -231,10 +244,15 @@
 	}
 	place.list.Remove(place.element)
 	if place.list == l.fresh {
-		select {
-		case l.freshEnded <- struct{}{}:
-		default:
-		}
+		l.signalChange()
+	}
+}
+
+// signalChange wakes awaitAdmission.
+func (l *Listener) signalChange() {
+	select {
+	case l.changed <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/daemon/member_calls_test.go
+++ b/internal/daemon/member_calls_test.go
@@ -140,6 +140,18 @@
 type member struct {
 	peer   apiv1.Peer
 	opened atomic.Int64 // connections
+	writes atomic.Int64 // on them that have ended
+}
+
+// countedConn counts the writes that have ended.
+type countedConn struct {
+	net.Conn
+	writes *atomic.Int64
+}
+
+func (c countedConn) Write(data []byte) (int, error) {
+	defer c.writes.Add(1)
+	return c.Conn.Write(data)
 }
 
 func (s *internalServer) newMember() *member {
@@ -148,7 +160,11 @@
 		MaxIdleConnsPerHost: 2,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			m.opened.Add(1)
-			return (&net.Dialer{}).DialContext(ctx, network, address)
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return countedConn{conn, &m.writes}, nil
 		},
 	}
 	s.t.Cleanup(transport.CloseIdleConnections)
@@ -232,10 +248,9 @@
 		m := s.newMember()
 		result := make(chan error, 1)
 		go func() { result <- m.call() }()
-		for m.opened.Load() == 0 {
+		for m.writes.Load() == 0 { // until then it is a connection without a request
 			time.Sleep(time.Millisecond)
 		}
-		time.Sleep(5 * time.Millisecond)
 		for range 10 * s.limit {
 			s.open("/")
 		}
