connlimit: a new connection waits until the kinds of those in use are known

Cause: a connection is told to be a member's by its first request. One that arrives while all others are in use was refused at once, its request unread. But the places of members and of others are together one less than the limit: the kind of one connection in use is not known yet, and as soon as it is, that one or another is refused or becomes idle.

Change: with reservations a new connection waits for that, at most for the second that it waited already for the requests of connections without one. Without reservations nothing changes: a connection is refused at once while all are in use.

--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -26,7 +26,8 @@
 // takes the place of the oldest one that has not sent a request yet, or else of the one
 // that has been idle longest; if there is neither, it is refused. A flood of silent
 // connections thus ends none that is in use. None is ended before the server has looked
-// for its request; new ones wait meanwhile. Set ConnState as the server's callback of the
+// for its request, and with reservations none is refused before the requests of those in use
+// have told which of them are reserved; new ones wait meanwhile. Set ConnState as the server's callback of the
 // same name, and ConnContext as well if some connections are reserved.
 type Listener struct {
 	net.Listener
@@ -43,7 +44,7 @@
 	// Of *trackedConn, oldest first: without a request yet; between requests, by kind.
 	fresh      *list.List
 	idle       [kinds]*list.List
-	changed    chan struct{} // receives an element when a connection has left fresh
+	changed    chan struct{} // receives an element when a connection has left fresh, became idle or ended
 	fullLogged time.Time
 }
 
@@ -125,12 +126,17 @@
 }
 
 // isPlacePending reports whether the limit is reached and the server may not have seen the request of the oldest connection
-// without one. The caller holds the lock.
+// without one. With reservations it also does while all connections are in use: as their kinds together have a place less
+// than the limit, the kind of one is not known yet, and one of those becomes idle or is refused its request and closed.
+// The caller holds the lock.
 func (l *Listener) isPlacePending(now time.Time) bool {
-	if len(l.connections) < l.limits.Connections || l.fresh.Len() == 0 {
+	if len(l.connections) < l.limits.Connections {
 		return false
 	}
-	return !l.fresh.Front().Value.(*trackedConn).isSilent(now)
+	if l.fresh.Len() > 0 {
+		return !l.fresh.Front().Value.(*trackedConn).isSilent(now)
+	}
+	return l.limits.Reserved > 0 && l.victim(now) == nil
 }
 
 // admission is the result of an attempt to register a new connection.
@@ -231,6 +237,7 @@
 		l.unlist(conn)
 		idle := l.idle[place.kind]
 		l.connections[conn] = connection{place.kind, idle, idle.PushBack(conn), time.Now()}
+		l.signalChange()
 	case http.StateClosed, http.StateHijacked:
 		l.remove(conn)
 	}
@@ -262,6 +269,7 @@
 	l.counts[l.connections[conn].kind]--
 	delete(l.connections, conn)
 	l.open.Update(int64(len(l.connections)))
+	l.signalChange()
 }
 
 // refuse answers that the server is overloaded, and closes the connection.
