control: a withdrawal that arrives late leaves the worker's next incarnation in use

Cause: a withdrawal names the worker and no incarnation. One that a cut had held up until the worker had begun anew under its id marked the new incarnation as gone, which nothing resets.

Change: a worker drains before it withdraws, and a new incarnation does not drain. So a withdrawal is ignored, with a line "withdrawal ignored", unless the newest incarnation drains. A worker whose draining reached no process and whose withdrawal does is taken for ended when it answers no more, as one that withdraws nothing; its tasks start elsewhere as before.

Not covered: a late withdrawal while the new incarnation drains, which gets no work either way.

--- a/internal/control/worker_reports.go
+++ b/internal/control/worker_reports.go
@@ -34,6 +34,9 @@
 
 // WithdrawWorker records that a worker has left permanently. Its errors are marked
 // as ErrNotLeader.
+//
+// A withdrawal names no incarnation. A worker drains before it withdraws, so one that arrives while the newest
+// incarnation does not drain is of a former one, and late; it is ignored.
 func (s *Server) WithdrawWorker(ctx context.Context, id string) error {
 	if _, err := s.dispatchLeadership(); err != nil {
 		return errors.Mark(err, ErrNotLeader)
@@ -42,6 +45,10 @@
 	if existing == nil || existing.GetGone() {
 		return nil
 	}
+	if !existing.GetDraining() {
+		s.Logger.Info("withdrawal ignored", "worker", id, "born", existing.GetBornUnixMs(), "reason", "the worker does not drain")
+		return nil
+	}
 	gone := apiv1.PoolWorker{
 		Id: existing.GetId(), BornUnixMs: existing.GetBornUnixMs(), Service: existing.GetService(),
 		Address: existing.GetAddress(), FailureDomain: existing.GetFailureDomain(), Labels: existing.GetLabels(),
--- a/internal/control/worker_reports_test.go
+++ b/internal/control/worker_reports_test.go
@@ -305,3 +305,24 @@
 	report(leader, 5, 5000, 4000)
 	is.Equal(leader.jobs.Worker("w1").GetCpuMillis(), int64(4000))
 }
+
+// A withdrawal that a cut had held up marked the worker's next incarnation as gone for the rest of its life.
+func TestWithdrawalOfAFormerIncarnationIsIgnored(t *testing.T) {
+	is := is.New(t)
+	r := newDispatchRig(t)
+	r.leadDispatch()
+	worker := func(born int64, draining bool) *apiv1.PoolWorker {
+		w := readyWorker(1)
+		w.BornUnixMs, w.Draining = born, draining
+		return w
+	}
+	is.NoErr(r.server.ReportWorker(t.Context(), worker(1, false)))
+	is.NoErr(r.server.ReportWorker(t.Context(), worker(1, true)))
+	is.NoErr(r.server.ReportWorker(t.Context(), worker(2, false)))
+	is.NoErr(r.server.WithdrawWorker(t.Context(), "w1")) // of the first incarnation
+	is.True(!r.jobs.Worker("w1").GetGone())
+	is.True(!r.jobs.Worker("w1").GetDraining())
+	is.NoErr(r.server.ReportWorker(t.Context(), worker(2, true)))
+	is.NoErr(r.server.WithdrawWorker(t.Context(), "w1"))
+	is.True(r.jobs.Worker("w1").GetGone())
+}
