control: a report of an unknown service does not take a worker's place

Cause: a report with a worker's id and a later birth is taken for its next incarnation. This one named a service that no catalog has. The worker was discarded as if it had ended, and its own reports, of the older birth, were ignored from then on.

Change: such a report is ignored while the catalog names the service of the known worker and not that of the report, at the process that gets it and at the leader. A worker that begins anew with a service of a later catalog is recorded with its next report after that. If the catalog names neither, the later birth counts as before.

Not covered, as nothing tells it from the worker's own: a later birth and a known service.

--- a/internal/control/worker_reports.go
+++ b/internal/control/worker_reports.go
@@ -22,7 +22,7 @@
 	if status.LeaderAddr == "" {
 		return errors.Mark(s.notLeader(), ErrNotLeader)
 	}
-	if !s.reportOrder.Changes(s.jobsTable().Worker(record.GetId()), record, time.Now()) {
+	if !s.reportChanges(record) {
 		return nil
 	}
 	err := s.reports.record(ctx, record)
@@ -32,6 +32,21 @@
 	return errors.Mark(err, ErrNotLeader)
 }
 
+// reportChanges reports whether a report that arrived now changes the worker's record.
+func (s *Server) reportChanges(record *apiv1.PoolWorker) bool {
+	current := s.jobsTable().Worker(record.GetId())
+	return !s.isOfUnknownService(current, record) && s.reportOrder.Changes(current, record, time.Now())
+}
+
+// isOfUnknownService reports whether a report under a worker's id names a service that the catalog doesn't, while it names
+// the worker's. Whoever wrote it, the worker it tells of can't be used, and taking its place would end the other's runs.
+// A worker that begins anew with a service of a later catalog is recorded with its next report after that.
+func (s *Server) isOfUnknownService(current, reported *apiv1.PoolWorker) bool {
+	catalog := s.jobsTable().Catalog()
+	return current != nil && current.GetService() != reported.GetService() &&
+		catalog.Service(current.GetService()) != nil && catalog.Service(reported.GetService()) == nil
+}
+
 // WithdrawWorker records that a worker has left permanently. Its errors are marked
 // as ErrNotLeader.
 //
@@ -78,7 +93,7 @@
 		if l.dispatch.IsOutdated(record) {
 			continue
 		}
-		if s.reportOrder.Changes(s.jobsTable().Worker(record.GetId()), record, time.Now()) {
+		if s.reportChanges(record) {
 			command.Workers = append(command.Workers, record)
 		}
 	}
--- a/internal/control/worker_reports_test.go
+++ b/internal/control/worker_reports_test.go
@@ -326,3 +326,35 @@
 	is.NoErr(r.server.WithdrawWorker(t.Context(), "w1"))
 	is.True(r.jobs.Worker("w1").GetGone())
 }
+
+// An entry of another writer with a worker's id, a later birth and a service that nobody knows took the place of
+// the worker, whose tasks were started elsewhere while they ran.
+func TestReportOfAnUnknownServiceDoesNotReplaceAWorker(t *testing.T) {
+	is := is.New(t)
+	leader, follower := newDispatchRig(t), newDispatchRig(t)
+	leader.leadDispatch()
+	follower.follow(leader)
+	publish := func(version uint64, services ...string) {
+		catalog := &apiv1.Catalog{Version: version}
+		for _, name := range services {
+			catalog.Services = append(catalog.Services, &apiv1.WorkerService{Name: name})
+		}
+		is.NoErr(leader.server.PublishCatalog(t.Context(), catalog))
+	}
+	report := func(to *rig, born int64, service string) {
+		worker := readyWorker(1)
+		worker.BornUnixMs, worker.Service = born, service
+		is.NoErr(to.server.ReportWorker(t.Context(), worker))
+	}
+	publish(2, "s")
+	report(leader, 1, "s")
+	report(leader, 2, "other")
+	report(follower, 2, "other") // which knows neither the worker nor the catalog
+	is.Equal(leader.jobs.Worker("w1").GetBornUnixMs(), int64(1))
+	publish(3, "s", "other") // the worker may have begun anew with another service
+	report(leader, 2, "other")
+	is.Equal(leader.jobs.Worker("w1").GetService(), "other")
+	publish(4) // no services: nothing tells which report is the worker's
+	report(leader, 3, "s")
+	is.Equal(leader.jobs.Worker("w1").GetBornUnixMs(), int64(3))
+}
