fake/closedport: an address at which nothing listens for as long as a test runs

The addresses come from a socket that is bound and doesn't listen: the kernel gives its port to nobody else. The tests of internal/rpc that need such an address use it as well. What they check is unchanged.

--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/pistachioport/pistachioport/internal/entry"
+	"github.com/pistachioport/pistachioport/internal/fake/closedport"
 )
 
 // net/http's Transport resends a request by itself when a keep-alive connection
@@ -90,9 +91,7 @@
 	is := is.New(t)
 	c := startFakeControl(t, dispatchConfiguration())
 	for i := range 2 {
-		dead := startRawEndpoint(t, neverRespond)
-		is.NoErr(dead.listener.Close())
-		c.announce(endpointAt(fmt.Sprintf("dead%d", i), dead.address()))
+		c.announce(endpointAt(fmt.Sprintf("dead%d", i), closedport.Address(t)))
 	}
 	received := newBodyCounter()
 	serveEndpoint(t, c, "live", countBodies(received, respondOK))
--- a/internal/rpc/call_effect_test.go
+++ b/internal/rpc/call_effect_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -13,21 +12,10 @@
 	"github.com/matryer/is"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/fake/closedport"
 	"github.com/pistachioport/pistachioport/internal/rpc"
 )
 
-// closedAddress returns an address on which nothing listens.
-func closedAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := listener.Addr().String()
-	_ = listener.Close()
-	return address
-}
-
 // submitAt submits a job to the process at the address.
 func submitAt(address string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
@@ -69,7 +57,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			address := closedAddress(t)
+			address := closedport.Address(t)
 			if c.handler != nil {
 				server := httptest.NewServer(c.handler)
 				t.Cleanup(server.Close)
--- a/internal/rpc/failover_test.go
+++ b/internal/rpc/failover_test.go
@@ -13,6 +13,7 @@
 	"github.com/twitchtv/twirp"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/fake/closedport"
 	"github.com/pistachioport/pistachioport/internal/rpc"
 )
 
@@ -186,18 +187,13 @@
 	respondingWith := func(err error) *lookupFunc {
 		return &lookupFunc{respond: func(context.Context, string) (*apiv1.LookupResponse, error) { return nil, err }}
 	}
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = closed.Close()
 	cases := []struct {
 		name        string
 		address     string
 		unreachable bool
 		refused     bool
 	}{
-		{"nothing listens", closed.Addr().String(), true, false},
+		{"nothing listens", closedport.Address(t), true, false},
 		{"no leader", serve(t, apiv1.NewClaimsServer(&fakeClaims{})), true, false},
 		{"invalid argument", serve(t, apiv1.NewClaimsServer(respondingWith(twirp.InvalidArgumentError("key", "empty")))), false, true},
 		{"failed precondition", serve(t, apiv1.NewClaimsServer(respondingWith(twirp.NewError(twirp.FailedPrecondition, "no")))), false, true},
