dispatch: long-running tasks that fail at once quarantine no worker after worker

Cause: failures of different jobs in a row quarantine a worker, and only a run that is done takes them off. A long-running task is restarted without a limit and is never done, so two of them that fail took one worker after the other out, were the first to be placed on each as its probe, and prolonged the quarantine each time.

Change: a failed run of a long-running task counts against its worker only if it failed within 2 s of its start and none of the task's runs has on another worker since one last worked that long. Otherwise it is an end without a result, which frees the probe. Ordinary tasks, whose failures are limited by their job's attempts, count as before.

Not covered: a worker that fails only long-running tasks which have all failed elsewhere is not quarantined; such tasks avoid workers on which they have failed.

--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -20,7 +20,11 @@
 	case apiv1.RunOutcome_RUN_OUTCOME_DONE:
 		w.health.recordSuccess()
 	case apiv1.RunOutcome_RUN_OUTCOME_FAILED:
-		p.recordWorkerFailure(w, end, now)
+		if t != nil && t.unit.spec.GetLongRunning() && !t.recordLongRunningFailure(w, end.Run, now) {
+			w.health.recordNoResult(runKey{end.Task, end.Run})
+		} else {
+			p.recordWorkerFailure(w, end, now)
+		}
 	default:
 		w.health.recordNoResult(runKey{end.Task, end.Run})
 	}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -83,3 +83,24 @@
 	h.quarantinedUntil = now.Add(refusalQuarantine)
 	h.probing = false
 }
+
+// quickFailures are the failures of a long-running task's runs soon after their starts since one has worked for
+// longRunningProbe. Such a task is restarted without a limit, so it would quarantine one worker after the other.
+type quickFailures struct {
+	worker  string // id of the last one's; "": none
+	several bool   // they were on several workers, so the task is the likely cause
+}
+
+// recordLongRunningFailure records a failed run of the long-running task and reports whether its worker may be the cause:
+// the run has failed soon, and no earlier one has on another worker.
+func (t *task) recordLongRunningFailure(w *worker, number int64, now time.Time) bool {
+	r := t.run
+	if r != nil && r.number == number && r.worker == w && !r.confirmedAt.IsZero() && now.Sub(r.confirmedAt) >= longRunningProbe {
+		t.quickFails = quickFailures{}
+		return false
+	}
+	f := &t.quickFails
+	f.several = f.several || (f.worker != "" && f.worker != w.id)
+	f.worker = w.id
+	return !f.several
+}
--- a/internal/dispatch/health_test.go
+++ b/internal/dispatch/health_test.go
@@ -46,3 +46,26 @@
 		is.True(h.schedulable(now))
 	})
 }
+
+// The failures of a long-running task say something about a worker while they are soon after their starts and all there.
+func TestLongRunningFailuresThatBlameAWorker(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	u := &unit{job: &job{id: "service", queue: testQueue()}, spec: &apiv1.JobStep{LongRunning: true}}
+	service := &task{unit: u}
+	w1, w2 := newWorker(&apiv1.PoolWorker{Id: "w1"}), newWorker(&apiv1.PoolWorker{Id: "w2"})
+	number := int64(0)
+	fail := func(w *worker, age time.Duration) bool {
+		number++
+		service.run = &run{number: number, worker: w, task: service, confirmedAt: now.Add(-age)}
+		return service.recordLongRunningFailure(w, number, now)
+	}
+	is.True(fail(w1, 0))
+	is.True(fail(w1, 0))
+	is.True(!fail(w2, 0)) // the task fails on any worker
+	is.True(!fail(w2, 0))
+	is.True(!fail(w1, 0))
+	is.True(!fail(w1, longRunningProbe)) // it has worked there
+	is.True(fail(w2, 0))
+	is.True(!service.recordLongRunningFailure(w1, number-1, now)) // a run that is not the current one
+}
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -16,6 +16,7 @@
 	failedRuns map[int64]bool // numbers of the runs that failed
 	checkpoint string
 	failedOn   map[string]bool // ids of workers on which it failed
+	quickFails quickFailures   // of a long-running task
 	notBefore  time.Time       // earliest next start
 	// preemptions is how often a run of the task was stopped for another unit.
 	preemptions int
