connlimit: an idle connection whose next request has arrived makes no room

What callers saw: nothing reported. A call over a connection that was in use ends without an answer, so an order's outcome is unknown, if the connection is closed for a new one just then.

A process that gets no processor time for a while finds new connections and requests at the same time.

Change: connections with unread bytes are passed over, up to 16; if there is no other, the new connection is refused, which has no effect.

--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -197,18 +197,27 @@
 	l.evicted.Inc(1)
 }
 
-// oldest returns the first connection of a list if it has been there for at least the given time. The caller holds the
-// lock.
+// maxUnreadSkipped bounds the connections that oldest passes over.
+const maxUnreadSkipped = 16
+
+// oldest returns the first connection of a list without an unread request if it has been there for at least the given
+// time. The caller holds the lock.
 func (l *Listener) oldest(from *list.List, now time.Time, age time.Duration) net.Conn {
-	front := from.Front()
-	if front == nil {
-		return nil
-	}
-	conn := front.Value.(net.Conn)
-	if now.Sub(l.connections[conn].since) < age {
-		return nil
+	element := from.Front()
+	for range maxUnreadSkipped {
+		if element == nil {
+			return nil
+		}
+		conn := element.Value.(*trackedConn)
+		if now.Sub(l.connections[conn].since) < age {
+			return nil
+		}
+		if !conn.hasUnreadBytes() {
+			return conn
+		}
+		element = element.Next()
 	}
-	return conn
+	return nil
 }
 
 // logFull logs that the limit is reached. The caller holds the lock.
