connlimit: only a connection that the server reads from at that moment makes room

What callers saw: nothing reported. (1) A request that the server had read, but whose connection the listener still had as idle, was lost when the connection was closed for a new one. (2) Worse than before: connections that their clients had closed while the process had no processor time were passed over, and a new one was refused.

Cause: (1) once a read has returned the request nothing is unread, and ConnState tells the listener of it only later. (2) The kernel counts the end of the client's bytes as a byte.

Change: a connection makes room only if no byte has arrived that reads have not returned and a read is in progress, looked at in this order; a read resets that mark before it counts its bytes. In a connection that the client has closed the last byte is not counted.

--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -197,14 +197,14 @@
 	l.evicted.Inc(1)
 }
 
-// maxUnreadSkipped bounds the connections that oldest passes over.
-const maxUnreadSkipped = 16
+// maxSkipped bounds the connections that oldest passes over.
+const maxSkipped = 16
 
-// oldest returns the first connection of a list without an unread request if it has been there for at least the given
-// time. The caller holds the lock.
+// oldest returns the first connection of a list from which no request has arrived, if it has been there for at least the
+// given time. The caller holds the lock.
 func (l *Listener) oldest(from *list.List, now time.Time, age time.Duration) net.Conn {
 	element := from.Front()
-	for range maxUnreadSkipped {
+	for range maxSkipped {
 		if element == nil {
 			return nil
 		}
@@ -212,7 +212,7 @@
 		if now.Sub(l.connections[conn].since) < age {
 			return nil
 		}
-		if !conn.hasUnreadBytes() {
+		if conn.isWaiting() {
 			return conn
 		}
 		element = element.Next()
--- a/internal/connlimit/silence_test.go
+++ b/internal/connlimit/silence_test.go
@@ -108,6 +108,68 @@
 	is.Equal(first.status(), http.StatusOK)
 }
 
+// A request that was read, and of which the listener has not been told yet, was taken for none.
+func TestIdleConnectionWhoseRequestWasReadIsNotEvicted(t *testing.T) {
+	is := is.New(t)
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s := &floodedServer{t: t, address: socket.Addr().String()}
+	s.limited = connlimit.NewListener(socket, "test", 2, slog.New(slog.DiscardHandler), metrics.NewRegistry())
+	var held atomic.Bool
+	active, release := make(chan struct{}), make(chan struct{})
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ReadHeaderTimeout: time.Minute,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			if state == http.StateActive && held.CompareAndSwap(true, false) {
+				active <- struct{}{}
+				<-release
+			}
+			s.connState(conn, state)
+		},
+	}
+	go func() { _ = server.Serve(s.limited) }()
+	t.Cleanup(func() { _ = server.Close() })
+	first, second := s.dial(), s.dial()
+	for i, c := range []*client{first, second} {
+		c.send("/")
+		is.Equal(c.status(), http.StatusOK)
+		s.awaitIdle(int64(i + 1))
+	}
+	held.Store(true)
+	first.send("/")
+	<-active
+	s.dial()
+	is.Equal(second.status(), 0) // closed in place of the one that has been idle longer
+	close(release)
+	is.Equal(first.status(), http.StatusOK)
+}
+
+// Connections that their clients have closed make room, although the server has not noticed yet.
+func TestIdleConnectionsClosedByClientsAreEvicted(t *testing.T) {
+	is := is.New(t)
+	const limit = 20 // more than are passed over
+	s, held := newHeldServer(t, limit)
+	held.release()
+	var clients []*client
+	for i := range limit {
+		c := s.dial()
+		c.send("/")
+		is.Equal(c.status(), http.StatusOK)
+		s.awaitIdle(int64(i + 1))
+		clients = append(clients, c)
+	}
+	held.hold()
+	for _, c := range clients[:limit-1] {
+		_ = c.conn.Close()
+	}
+	time.Sleep(50 * time.Millisecond) // the closes are on their way
+	c := s.dial()
+	c.send("/")
+	time.Sleep(50 * time.Millisecond)
+	held.release()
+	is.Equal(c.status(), http.StatusOK)
+}
+
 // A connection that has sent a part of a request makes room, as one that has sent nothing.
 func TestConnectionWithAPartOfARequestIsEvicted(t *testing.T) {
 	is := is.New(t)
--- a/internal/connlimit/tracked_conn.go
+++ b/internal/connlimit/tracked_conn.go
@@ -43,8 +43,8 @@
 func (c *trackedConn) Read(buffer []byte) (int, error) {
 	now := time.Now()
 	c.readSince.Store(&now)
-	defer c.readSince.Store(nil)
 	n, err := c.Conn.Read(buffer)
+	c.readSince.Store(nil) // before readBytes changes, see isWaiting
 	c.readBytes.Add(uint64(max(n, 0)))
 	return n, err
 }
@@ -53,9 +53,22 @@
 // lasts is no proof of that: the process may have had no processor time to end it.
 func (c *trackedConn) isSilent(now time.Time) bool {
 	since := c.readSince.Load()
-	return since != nil && now.Sub(*since) >= silence && !c.hasUnreadBytes()
+	return since != nil && now.Sub(*since) >= silence && c.isWaiting() && c.readSince.Load() == since
 }
 
+// isWaiting reports whether the server is waiting for bytes, and none have arrived: neither a request that was not read nor
+// one that was read and is being handled. The bytes are looked at first: a read that returned them before has
+// reset readSince.
+func (c *trackedConn) isWaiting() bool {
+	return !c.hasUnreadBytes() && c.readSince.Load() != nil
+}
+
+// States of a TCP connection, as the kernel numbers them.
+const (
+	tcpClosed    = 7
+	tcpCloseWait = 8 // the peer has closed it
+)
+
 // hasUnreadBytes reports whether more bytes have arrived than reads have returned.
 func (c *trackedConn) hasUnreadBytes() bool {
 	if c.socket == nil {
@@ -63,7 +76,12 @@
 	}
 	read, arrived := c.readBytes.Load(), uint64(0)
 	err := c.socket.Control(func(descriptor uintptr) {
-		if info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+		switch {
+		case err != nil || info.State == tcpClosed:
+		case info.State == tcpCloseWait:
+			arrived = info.Bytes_received - min(1, info.Bytes_received) // the end of the peer's bytes counts as one
+		default:
 			arrived = info.Bytes_received
 		}
 	})
