dispatch: the age of a late report counts on from the last reading of the worker's clock

The age of a report was taken against the last reading of the worker's clock, which is up to a second old, and older while the leader's calls to the worker fail. So a report of 2.5 s counted, and one of any age during a cut.

The lowest reading that the clock can show now is compared instead.

The line "withdrawal ignored" has no reason any more, which the table of events had listed as a key.

--- a/internal/control/worker_reports.go
+++ b/internal/control/worker_reports.go
@@ -61,7 +61,7 @@
 		return nil
 	}
 	if !existing.GetDraining() {
-		s.Logger.Info("withdrawal ignored", "worker", id, "born", existing.GetBornUnixMs(), "reason", "the worker does not drain")
+		s.Logger.Info("withdrawal ignored", "worker", id, "born", existing.GetBornUnixMs(), "draining", false)
 		return nil
 	}
 	gone := apiv1.PoolWorker{
@@ -90,7 +90,7 @@
 	}
 	command := &apiv1.JobsCommand{}
 	for _, record := range records {
-		if l.dispatch.IsOutdated(record) {
+		if l.dispatch.IsOutdated(s.jobsTable().Worker(record.GetId()), record) {
 			continue
 		}
 		if s.reportChanges(record) {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -89,7 +89,12 @@
 	if w.clockAt.IsZero() || remaining <= 0 {
 		return 0
 	}
-	return w.clockMs + int64(minClockRate*float64((now.Sub(w.clockAt)+remaining).Milliseconds()))
+	return w.lowestClockMs(now.Add(remaining))
+}
+
+// lowestClockMs returns the lowest reading that the worker's clock can show at the time. A reading must be known.
+func (w *worker) lowestClockMs(at time.Time) int64 {
+	return w.clockMs + int64(minClockRate*float64(at.Sub(w.clockAt).Milliseconds()))
 }
 
 // recordLeaseGranted records that the worker may hold leases until the
