dispatch: a long-running task that has worked blames workers again, however that run ended

A task whose runs had failed soon on two workers was only reset by another failure after 2 s of work. One that had worked for an hour and was then stopped, lapsed or lost its worker never said anything about a worker again.

The reset is where the task's run changes. A failure whose run this leader has not started, or that is not the task's current one, has no known age, and counts for no worker.

--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -92,11 +92,11 @@
 }
 
 // recordLongRunningFailure records a failed run of the long-running task and reports whether its worker may be the cause:
-// the run has failed soon, and no earlier one has on another worker.
+// the run has failed soon, and no earlier one has on another worker. The age of a run is known if this leader has started
+// it and it is the current one.
 func (t *task) recordLongRunningFailure(w *worker, number int64, now time.Time) bool {
 	r := t.run
-	if r != nil && r.number == number && r.worker == w && !r.confirmedAt.IsZero() && now.Sub(r.confirmedAt) >= longRunningProbe {
-		t.quickFails = quickFailures{}
+	if r == nil || r.number != number || r.worker != w || r.startSent.IsZero() || r.hasWorked(now) {
 		return false
 	}
 	f := &t.quickFails
@@ -104,3 +104,8 @@
 	f.worker = w.id
 	return !f.several
 }
+
+// hasWorked reports whether the run has worked for longRunningProbe.
+func (r *run) hasWorked(now time.Time) bool {
+	return !r.confirmedAt.IsZero() && now.Sub(r.confirmedAt) >= longRunningProbe
+}
--- a/internal/dispatch/health_test.go
+++ b/internal/dispatch/health_test.go
@@ -55,9 +55,15 @@
 	service := &task{unit: u}
 	w1, w2 := newWorker(&apiv1.PoolWorker{Id: "w1"}), newWorker(&apiv1.PoolWorker{Id: "w2"})
 	number := int64(0)
-	fail := func(w *worker, age time.Duration) bool {
+	start := func(w *worker, age time.Duration) *run {
 		number++
-		service.run = &run{number: number, worker: w, task: service, confirmedAt: now.Add(-age)}
+		r := &run{number: number, worker: w, task: service, startSent: now.Add(-age), confirmedAt: now.Add(-age)}
+		service.setRun(r)
+		return r
+	}
+	fail := func(w *worker, age time.Duration) bool {
+		start(w, age)
+		defer service.setRun(nil)
 		return service.recordLongRunningFailure(w, number, now)
 	}
 	is.True(fail(w1, 0))
@@ -67,5 +73,12 @@
 	is.True(!fail(w1, 0))
 	is.True(!fail(w1, longRunningProbe)) // it has worked there
 	is.True(fail(w2, 0))
-	is.True(!service.recordLongRunningFailure(w1, number-1, now)) // a run that is not the current one
+	start(w1, longRunningProbe)
+	service.setRun(nil) // stopped or lapsed
+	is.True(fail(w1, 0))
+	start(w2, 0).startSent = time.Time{} // by the previous leader: its age is unknown
+	is.True(!service.recordLongRunningFailure(w2, number, now))
+	is.True(!service.recordLongRunningFailure(w2, number-1, now)) // a run that is not the current one
+	service.setRun(nil)
+	is.True(!fail(w2, 0))
 }
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -41,6 +41,9 @@
 	if !t.done {
 		t.unit.active += count(r != nil) - count(t.run != nil)
 	}
+	if t.run != nil && t.run.isLongRunning() && t.run.hasWorked(time.Now()) {
+		t.quickFails = quickFailures{}
+	}
 	t.run = r
 }
 
