dispatch: a contained queue admits no job before a pass has counted those that wait

At 13.14 s a new leader takes over, with 111 open jobs and the queue contained; it accepts 56 jobs of the queue within that second, and refuses all from then on.

Cause: a new leader knows the contained queues, and admission goes by the units that wait for a trial and by the number of trial workers as the last pass has counted them: none, before the first pass. So it accepted as many jobs as if nothing of its predecessor waited.

Change: until a pass has counted, jobs of a contained queue are refused, with the shortest Retry-After. Passes follow each other within 0.1 s.

Measured: TestContainedQueueAdmitsNothingBeforeItsWaitingUnitsAreCounted fails before, 2 of 2, and passes.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -79,8 +79,12 @@
 }
 
 // admit decides on a new job that may wait for so long. An accepted one counts as waiting until
-// the next pass has counted anew.
+// the next pass has counted anew. None is accepted before the first pass: a new leader would take as many as if no job of
+// its predecessor waited.
 func (c *containment) admit(now time.Time, maxWait time.Duration) Admission {
+	if !c.counted {
+		return Admission{Refused: true, Reason: RefusedTrial, RetryAfter: MinAdmissionRetry}
+	}
 	rate := c.testRate(now)
 	wait := float64(c.waiting+1) / rate
 	tooMany := c.waiting >= c.trialLimit && wait > maxWait.Seconds()
--- a/internal/dispatch/containment.go
+++ b/internal/dispatch/containment.go
@@ -12,6 +12,7 @@
 	groupLimit int           // number of contained jobs that may share a trial worker
 	successes  int           // runs done since the group limit last changed
 	crashAge   time.Duration // of the oldest run that has crashed its worker; 0: none is known
+	counted    bool          // a pass has counted the units that wait
 	waiting    int           // units that waited for a trial in the last pass, and jobs accepted since
 	culprits   int           // units that waited for a further trial, after a crash is attributed to them
 	trialLimit int           // of trial workers and crashed ones in the last pass
--- a/internal/dispatch/containment_test.go
+++ b/internal/dispatch/containment_test.go
@@ -117,7 +117,7 @@
 	now := time.Now()
 	c := &containment{trialLimit: 3}
 	c.recordCrash(now)
-	c.trialLimit = 3
+	c.counted, c.trialLimit = true, 3
 	accepted := 0
 	for ; !c.admit(now, time.Second).Refused; accepted++ {
 	}
@@ -239,6 +239,27 @@
 	is.True(p.containments["q"].active(time.Now()))
 }
 
+// A new leader accepted jobs of a contained queue as if none of its predecessor's waited for a trial.
+func TestContainedQueueAdmitsNothingBeforeItsWaitingUnitsAreCounted(t *testing.T) {
+	is := is.New(t)
+	p, now := fullPool(minWorkersForTrials), time.Now()
+	const waiting = 40
+	for i := range waiting {
+		p.insertJob(newJob(&apiv1.JobProgress{Job: &apiv1.CallerJob{
+			Id: fmt.Sprintf("job%d", i), Queue: testQueue(), Spec: &apiv1.JobSpec{Steps: []*apiv1.JobStep{stepOf(1, 1000)}},
+		}}, now, now.UnixMilli()))
+	}
+	p.containQueue("q", now) // by the predecessor
+	c := p.containments["q"]
+	refusal := c.admit(now, time.Second)
+	is.True(refusal.Refused)
+	is.Equal(refusal.RetryAfter, MinAdmissionRetry)
+	p.runPass()
+	is.Equal(c.waiting, waiting)
+	is.True(c.admit(now, time.Second).Refused)
+	is.True(!c.admit(now, time.Minute).Refused)
+}
+
 func TestCrashesSurviveASnapshot(t *testing.T) {
 	is := is.New(t)
 	table := jobs.New()
--- a/internal/dispatch/trial_workers.go
+++ b/internal/dispatch/trial_workers.go
@@ -56,7 +56,7 @@
 	tw := p.newTrialWorkers(quiet, now)
 	var untested, culprits []*unit
 	for _, c := range p.containments {
-		c.waiting, c.culprits, c.trialLimit = 0, 0, tw.limit
+		c.counted, c.waiting, c.culprits, c.trialLimit = true, 0, 0, tw.limit
 	}
 	p.countProbableTrials()
 	for _, u := range waiting {
