dispatch: a run whose end is reported before the response to its start counts as started

What callers saw: nothing.

Cause: the worker's list of ends and the response to the start come over two connections. If the end is handled first, the run is gone when the response is, which is dropped then. A run that is listed as active before the response was handled so already.

Change: an end of a run whose start is not confirmed confirms it first.

--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -105,11 +105,17 @@
 	}
 }
 
-// freeEndedRun frees the resources of a run whose end is reported.
+// freeEndedRun frees the resources of a run whose end is reported, perhaps before the response to its start is handled.
 func (p *pool) freeEndedRun(w *worker, end EndedRun) {
-	if r := w.runs[runKey{end.Task, end.Run}]; r != nil {
-		w.removeRun(r)
+	r := w.runs[runKey{end.Task, end.Run}]
+	if r == nil {
+		return
+	}
+	if r.phase == phaseStarting {
+		p.confirmStart(r, time.Now())
+		p.logRunListed(runStarted, r)
 	}
+	w.removeRun(r)
 }
 
 // observeActiveRun records that the worker reports a run as active, in response
