--- a/internal/control/worker_reports.go
+++ b/internal/control/worker_reports.go
@@ -39,7 +39,7 @@
 }
 
 // isOfUnknownService reports whether a report under a worker's id names a service that the catalog doesn't, while it names
-// the worker's. Whoever wrote it, the worker it tells of can't be used, and taking its place would end the other's runs.
+// the worker's. The worker it tells of can't be used, and taking its place would end the other's runs.
 // A worker that begins anew with a service of a later catalog is recorded with its next report after that.
 func (s *Server) isOfUnknownService(current, reported *apiv1.PoolWorker) bool {
 	catalog := s.jobsTable().Catalog()
--- a/internal/control/worker_reports_test.go
+++ b/internal/control/worker_reports_test.go
@@ -327,7 +327,7 @@
 	is.True(r.jobs.Worker("w1").GetGone())
 }
 
-// An entry of another writer with a worker's id, a later birth and a service that nobody knows took the place of
+// An entry of another writer with a worker's id, a later birth and a service that no catalog names took the place of
 // the worker, whose tasks were started elsewhere while they ran.
 func TestReportOfAnUnknownServiceDoesNotReplaceAWorker(t *testing.T) {
 	is := is.New(t)
