Tests in virtual time use one processor under the race detector

No test was named in what was left of the output.

The runtime keeps one race context for all timers of a bubble of testing/synctest (runtime/time.go, unlockAndRun: bubble.timers.raceCtx). A goroutine that receives from, stops or resets a timer that has expired runs it itself (maybeRunChan), so two of them may use that context at the same time, which the detector does not allow.

Evidence: the dump's rip, 0x41c729, is the first access through thr->slot in __tsan::SlotLock (nm and objdump of the same test binary), with rbx = thr->slot = 0.

Change: internal/fake/bubble runs synctest.Test on one processor under the race detector, and all such tests use it. The detector goes by the order of accesses, not by their simultaneity, so it still finds races; fewer interleavings are played.

Ruled out: a data race of ours (none is reported), too many goroutines (the detector says so and ends), memory (3.8 GB of 31).

--- a/internal/bodybudget/budget_test.go
+++ b/internal/bodybudget/budget_test.go
@@ -3,12 +3,13 @@
 import (
 	"log/slog"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/pistachioport/pistachioport/internal/fake/bubble"
 )
 
 // newTestBudget returns a budget of 1000 bytes with two portions that reserve 300 each.
@@ -46,7 +47,7 @@
 
 // Guards against a request that is ended although another one has stalled for longer.
 func TestTheRequestWithoutProgressForLongestIsEndedFirst(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		_, first, _ := newTestBudget()
 		stalled := holdOf(t, first, "a", 350)
@@ -61,7 +62,7 @@
 
 // Guards against requests that end each other although all make progress.
 func TestNewRequestsAreRefusedWhileAllMakeProgress(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		_, first, _ := newTestBudget()
 		current := holdOf(t, first, "a", 700)
@@ -74,7 +75,7 @@
 
 // Guards against a client that keeps its place by single bytes.
 func TestSingleBytesAreNoProgress(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		_, first, _ := newTestBudget()
 		slow := holdOf(t, first, "a", 690)
@@ -90,7 +91,7 @@
 
 // Guards against an address that holds everything while another one waits.
 func TestTheAddressWithMoreThanItsShareGivesWay(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		_, first, _ := newTestBudget()
 		older := holdOf(t, first, "greedy", 350)
@@ -104,7 +105,7 @@
 
 // Guards against a request that is ended although its handler has begun to act on it.
 func TestAnArrivedRequestIsNotEnded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		_, first, _ := newTestBudget()
 		h := holdOf(t, first, "a", 700)
--- a/internal/control/identity_probes_test.go
+++ b/internal/control/identity_probes_test.go
@@ -15,6 +15,7 @@
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 	"github.com/pistachioport/pistachioport/internal/control/repair"
+	"github.com/pistachioport/pistachioport/internal/fake/bubble"
 )
 
 // identifyingProcesses responds for all addresses but "gone", which responds only once it
@@ -39,7 +40,7 @@
 
 // A VM that is gone delayed each step of its own replacement by identifyTimeout.
 func TestChecksWaitForASilentProcessOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		processes := &identifyingProcesses{}
 		clients := &peerClients{client: &http.Client{Transport: processes}}
@@ -73,7 +74,7 @@
 // A process that takes long to respond delayed each step of a repair by that time, although the response to the check
 // before was known.
 func TestChecksDoNotWaitForAProcessThatHasIdentifiedItself(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		const callTime = identityWait / 2
 		processes := &identifyingProcesses{}
@@ -99,7 +100,7 @@
 
 // The end of a call that came with the begin of the next one was not counted, and the process kept its identity.
 func TestIdentityOfAProcessThatIsGoneEndsWithItsCall(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		processes := &identifyingProcesses{}
 		processes.back.Store(true)
@@ -148,7 +149,7 @@
 
 // A process that took longer than identifyTimeout to respond counted as one that doesn't answer, and its voter was removed.
 func TestProcessThatRespondsLateIsIdentified(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		processes := &identifyingProcesses{}
 		clients := &peerClients{client: &http.Client{Transport: &acceptingProcess{2 * identifyTimeout, processes}}}
@@ -174,7 +175,7 @@
 
 // The VM is up, but the process never responds.
 func TestCallOfAFrozenProcessEnds(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		clients := &peerClients{client: &http.Client{Transport: &acceptingProcess{time.Hour, &identifyingProcesses{}}}}
 		probes := &identityProbes{}
--- a/internal/control/repair_interval_test.go
+++ b/internal/control/repair_interval_test.go
@@ -6,11 +6,11 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 
 	"github.com/matryer/is"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/fake/bubble"
 	"github.com/pistachioport/pistachioport/internal/replica"
 )
 
@@ -32,7 +32,7 @@
 }
 
 func TestUnansweredProcessesDoNotDelayTheNextCheckOfTheMembership(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		const interval, checks = identifyTimeout, 10
 		process := &silentProcess{}
--- a/internal/control/report_batcher_test.go
+++ b/internal/control/report_batcher_test.go
@@ -5,16 +5,16 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/fake/bubble"
 )
 
 func TestReportsToASlowLeaderShareCalls(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		const leaderTime, interval, reports = 400 * time.Millisecond, 10 * time.Millisecond, 100
 		var calls, recorded, inFlight, most atomic.Int64
@@ -40,7 +40,7 @@
 
 // Work for workers that have given up delays the others: they have reported elsewhere, and report again.
 func TestReportsOfCallersThatGaveUpAreDropped(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		const reports = 50
 		var recorded atomic.Int64
@@ -66,7 +66,7 @@
 // Reports that can't be committed in time are refused at once in a large deployment only.
 func TestBatchIsBoundedInALargeDeployment(t *testing.T) {
 	for _, large := range []bool{false, true} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			is := is.New(t)
 			const reports = maxBatchedReports + 100
 			b := &reportBatcher{bounded: func() bool { return large }, send: func(context.Context, []*apiv1.PoolWorker) error { return nil }}
--- a/internal/daemon/report_cluster_test.go
+++ b/internal/daemon/report_cluster_test.go
@@ -8,7 +8,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -16,6 +15,7 @@
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 	"github.com/pistachioport/pistachioport/internal/connlimit"
 	"github.com/pistachioport/pistachioport/internal/control"
+	"github.com/pistachioport/pistachioport/internal/fake/bubble"
 	"github.com/pistachioport/pistachioport/internal/replica"
 	"github.com/pistachioport/pistachioport/platform"
 )
@@ -179,7 +179,7 @@
 // With a division of the descriptors that was the same in every role, nearly every report of 3,000 workers opened a
 // connection.
 func TestReportsOf3000WorkersKeepTheirConnections(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		c := newReportCluster(ctx, t, largeControlProcesses, largeWorkers, largeDescriptors, workCosts{})
 		c.start(ctx, largeWorkers)
@@ -211,7 +211,7 @@
 
 // A deployment of 1,100 workers is served as before: no connection moves, and the leader keeps its own.
 func TestReportsOf1100WorkersStayAtTheLeader(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		c := newReportCluster(ctx, t, 3, 1100, largeDescriptors, workCosts{})
 		c.start(ctx, 1100)
@@ -236,7 +236,7 @@
 		{accept: 3750 * time.Microsecond, report: 3750 * time.Microsecond},
 		{accept: 600 * time.Microsecond, report: 6 * time.Millisecond},
 	} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			c := newReportCluster(ctx, t, largeControlProcesses, workers, descriptors, costs)
 			c.start(ctx, workers)
@@ -266,7 +266,7 @@
 	plan := connlimit.LargeControlPlan(descriptors)
 	kept := (processes - 1) * plan.FollowerReports
 	workers := kept + 100
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		c := newReportCluster(ctx, t, processes, workers, descriptors, workCosts{})
 		c.start(ctx, workers)
--- a/internal/daemon/report_storm_test.go
+++ b/internal/daemon/report_storm_test.go
@@ -13,12 +13,12 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/pistachioport/pistachioport/internal/connlimit"
+	"github.com/pistachioport/pistachioport/internal/fake/bubble"
 )
 
 // Behaviour of the platform's workers.
@@ -222,7 +222,7 @@
 // keep 496 report connections each evict for each new connection one that is in use, and its worker opens another.
 func TestFixedPartOfReportsIsTooSmallFor3000Workers(t *testing.T) {
 	for _, workers := range []int{1100, largeWorkers} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			s := newStorm(t)
 			ctx, cancel := context.WithCancel(t.Context())
 			for i := range largeControlProcesses {
--- a/internal/dispatch/backlog_test.go
+++ b/internal/dispatch/backlog_test.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/fake/bubble"
 )
 
 // backlogPool returns a full pool with the waiting units, each of which has been tried. Time is virtual.
@@ -51,7 +51,7 @@
 // Each pass tried all units that waited, though nothing had changed for them. The leader's processor time went into
 // passes that placed nothing, and urgent jobs were started late for as long as the backlog lasted.
 func TestPassDoesNotTryUnitsForWhichNothingChanged(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		p := backlogPool(500, 3000)
 		const passes = 10
@@ -71,7 +71,7 @@
 func TestBacklogIsTriedAtABoundedRate(t *testing.T) {
 	for _, units := range []int{100, 1000, 4000} {
 		t.Run(fmt.Sprint(units), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				p := backlogPool(units/2, units/2)
 				const seconds, maxPerSecond = 10, 2500
--- a/internal/dispatch/former_leader_test.go
+++ b/internal/dispatch/former_leader_test.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -13,6 +12,7 @@
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 	"github.com/pistachioport/pistachioport/internal/clock"
+	"github.com/pistachioport/pistachioport/internal/fake/bubble"
 )
 
 // offsetClock is the clock of a process whose wall clock is off. It follows the virtual time of a test.
@@ -48,7 +48,7 @@
 // An occurrence that became due after a change of leader, while the lease of the former leader was still valid,
 // was started by both: by the former one on a worker that had not heard of the next one.
 func TestOccurrenceDueDuringTheLeaseOfTheFormerLeaderRunsOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		near, far := newFakeWorker("near", 1000), newFakeWorker("far", 1000)
 		c := newVirtualCluster(t, near, far)
@@ -72,7 +72,7 @@
 
 // A worker that answers the next leader no longer executes starts of the former one: the occurrence is not delayed.
 func TestOccurrenceDueAfterATakeoverStartsOnceAllWorkersHaveAnswered(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		near, far := newFakeWorker("near", 1000), newFakeWorker("far", 1000)
 		c := newVirtualCluster(t, near, far)
@@ -91,7 +91,7 @@
 func TestTaskOfAWorkerThatTheNextLeaderReachesIsNotRestartedByTheFormerOne(t *testing.T) {
 	for cutFor := time.Second; cutFor < 4*time.Second; cutFor += 500 * time.Millisecond {
 		t.Run(cutFor.String(), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { loseWorkerToTheNextLeader(t, cutFor) })
+			bubble.Test(t, func(t *testing.T) { loseWorkerToTheNextLeader(t, cutFor) })
 		})
 	}
 }
@@ -133,7 +133,7 @@
 	for _, maxLease := range []time.Duration{1200 * time.Millisecond, 6 * time.Second} {
 		for seed := range uint64(formerLeaderSeeds) {
 			t.Run(fmt.Sprintf("%v/%d", maxLease, seed), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) { newFormerLeaderScenario(t, maxLease, seed).run() })
+				bubble.Test(t, func(t *testing.T) { newFormerLeaderScenario(t, maxLease, seed).run() })
 			})
 		}
 	}
--- a/internal/dispatch/leader_burst_test.go
+++ b/internal/dispatch/leader_burst_test.go
@@ -3,10 +3,10 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/fake/bubble"
 )
 
 // burstResult counts the urgent jobs of a day with a burst that were done in time.
@@ -22,7 +22,7 @@
 
 		burstBegin, burstEnd, recovery, end = 3 * time.Second, 10 * time.Second, 3 * time.Second, 20 * time.Second
 	)
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		l := newBudgetedLeader(workers)
 		urgent := &apiv1.JobStep{Count: 3, CpuMillis: 1000, EstimateMs: 800}
 		bulk := &apiv1.JobStep{Count: 4, CpuMillis: 4000, EstimateMs: 2000}
--- a/internal/dispatch/parking_random_test.go
+++ b/internal/dispatch/parking_random_test.go
@@ -8,13 +8,13 @@
 	"slices"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/fake/bubble"
 )
 
 // parkingScenario drives the passes of one pool, without workers or a policy service that answer by themselves.
@@ -265,7 +265,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		choices := rapid.SliceOfN(rapid.IntRange(0, 1<<16), 300, 300).Draw(rt, "choices")
 		fault := ""
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			p := fullPool(0)
@@ -289,7 +289,7 @@
 
 // A unit of which some tasks had been placed counted as waiting since ever.
 func TestPartlyPlacedUnitWaitsSinceThen(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		p := fullPool(0)
 		s := &parkingScenario{pool: p, choices: []int{0}}
 		s.addWorker() // of one core
--- a/internal/dispatch/start_shares_test.go
+++ b/internal/dispatch/start_shares_test.go
@@ -3,17 +3,17 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/fake/bubble"
 )
 
 // Starts of a backlog without value took all slots and the leader's processor time, and urgent tasks started no sooner.
 func TestExpiredBacklogLeavesStartSlotsToUrgentTasks(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		const slots, backlog = 16, 100
 		p := fullPool(0)
--- /dev/null
+++ b/internal/fake/bubble/race.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package bubble
+
+const raceDetector = true
--- a/internal/rpc/outage_test.go
+++ b/internal/rpc/outage_test.go
@@ -9,12 +9,12 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
+	"github.com/pistachioport/pistachioport/internal/fake/bubble"
 	"github.com/pistachioport/pistachioport/internal/rpc"
 )
 
@@ -157,7 +157,7 @@
 	const begin, length, maxRequests = time.Second, 10 * time.Second, 60
 	for _, callers := range outageCallers {
 		t.Run(callers.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				o := newOutage(t)
 				first := o.last(begin, callers.calls, callers.interval)
@@ -185,7 +185,7 @@
 				var found []time.Duration
 				requests := int64(0)
 				for i := range outages {
-					synctest.Test(t, func(t *testing.T) {
+					bubble.Test(t, func(t *testing.T) {
 						o := newOutage(t)
 						requests += o.last(c.length+time.Second*time.Duration(i)/outages, callers.calls, callers.interval)
 						o.elect()
