dispatch: a new leader counts what it inherits of a contained queue

Cause: a new leader admits nothing before its first pass has counted what waits. But that pass finds nothing: tasks that the previous leader may have started wait until the workers are reconciled, up to 5.4 s, and were not counted.

Change: units with such tasks count as waiting, likely culprits among them as such.

Test: TestContainedQueueCountsInheritedUnits ("0 != 40" before).

--- a/internal/dispatch/containment_test.go
+++ b/internal/dispatch/containment_test.go
@@ -260,6 +260,34 @@
 	is.True(!c.admit(now, time.Minute).Refused)
 }
 
+// Neither did it count those that it may start only once the workers are reconciled: 37 jobs were accepted within 0.1 s.
+func TestContainedQueueCountsInheritedUnits(t *testing.T) {
+	is := is.New(t)
+	p, now := fullPool(minWorkersForTrials), time.Now()
+	p.addInheritedWorker(newFakeWorker("inherited", 16000).record, now.Add(time.Hour))
+	const waiting, culprits = 40, 20
+	for i := range waiting + culprits {
+		j := newJob(&apiv1.JobProgress{Job: &apiv1.CallerJob{
+			Id: fmt.Sprintf("job%d", i), Queue: testQueue(), Spec: &apiv1.JobSpec{Steps: []*apiv1.JobStep{stepOf(1, 1000)}},
+		}}, now, now.UnixMilli())
+		if i >= waiting {
+			j.units[0].tasks[0].crashes.Record(1, true, true)
+			j.units[0].mostCrashes = 1
+		}
+		p.addJob(j, true)
+	}
+	p.containQueue("q", now) // by the predecessor
+	c := p.containments["q"]
+	p.runPass()
+	is.Equal(c.waiting, waiting)
+	is.Equal(c.culprits, culprits)
+	is.True(c.admit(now, time.Second).Refused)
+	p.markReconciled("inherited")
+	p.runPass()
+	is.Equal(c.waiting, waiting)
+	is.Equal(c.culprits, culprits)
+}
+
 func TestCrashesSurviveASnapshot(t *testing.T) {
 	is := is.New(t)
 	table := jobs.New()
--- a/internal/dispatch/trial_workers.go
+++ b/internal/dispatch/trial_workers.go
@@ -59,6 +59,7 @@
 		c.counted, c.waiting, c.culprits, c.trialLimit = true, 0, 0, tw.limit
 	}
 	p.countProbableTrials()
+	p.countInheritedTrials(now)
 	for _, u := range waiting {
 		if !u.risk.onTrial() {
 			continue
@@ -118,6 +119,29 @@
 	}
 }
 
+// countInheritedTrials counts, as waiting, the units with tasks that the previous leader may have started and that no
+// worker has reported: most will need a trial once the workers are reconciled.
+func (p *pool) countInheritedTrials(now time.Time) {
+	if len(p.unreconciled) == 0 {
+		return
+	}
+	for _, j := range p.jobs {
+		c := p.containments[j.queue.GetName()]
+		if c == nil {
+			continue
+		}
+		for _, u := range j.units {
+			switch {
+			case u.hasPendingTask(now) || !slices.ContainsFunc(u.tasks, func(t *task) bool { return t.mayBeRunning }):
+			case u.likelyCulprit():
+				c.countWaiting(0, 1)
+			default:
+				c.countWaiting(1, 0)
+			}
+		}
+	}
+}
+
 // newTrialWorkers counts what is on trial and computes the limits of a pass.
 func (p *pool) newTrialWorkers(quiet bool, now time.Time) *trialWorkers {
 	tw := &trialWorkers{p: p, now: now, gathering: make(map[*unit]bool)}
