dispatch: a contained queue admits no more than its further trials can work off

Cause: a job to which a crash is attributed needs a further trial before it is given up, and gets it after the jobs that wait for their first one. Admission stopped at twice the trial workers, but (1) did not count those among the waiting that would turn out so, about a half, and (2) took the number of trial workers of the last pass, which goes from 12 to 24 for a moment whenever crashed workers are back; 48 were let in then.

Change: admission counts the share of first trials that lately ended in a crash, and goes by the trial workers that there may be while many workers are down.

Tests (both fail with the former bound): TestJobsThatWouldWaitForFurtherTrialsAreRefused ("36000 != 49"), TestAdmissionToAContainedQueueReckonsWithCrashedWorkers ("12 != 4").

Ruled out: too few trial workers for lack of room (32 to 45 % of the other workers' room is free then, but gangs of other queues wait for it).

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -40,7 +40,7 @@
 
 // Admit decides whether a new job is accepted. A job of a contained queue is refused if so many
 // others wait for a trial that it would have no value any more once it has run, or if many wait for
-// a further trial. As many as there may be trial workers are let in however long they wait for the
+// a further trial or will. As many as there may be trial workers are let in however long they wait for the
 // first, so that no trial worker is idle. Other jobs are decided on by admitByLoad.
 //
 // Load pattern: a queue whose tasks crash workers faster than these come back. All of its jobs
@@ -88,7 +88,7 @@
 	rate := c.testRate(now)
 	wait := float64(c.waiting+1) / rate
 	tooMany := c.waiting >= c.trialLimit && wait > maxWait.Seconds()
-	if tooMany || c.culprits > maxCulpritFactor*c.trialLimit {
+	if tooMany || c.expectedCulprits() > float64(maxCulpritFactor*c.trialLimit) {
 		retryAfter := time.Duration(wait * float64(time.Second))
 		return Admission{Refused: true, Reason: RefusedTrial, RetryAfter: min(max(retryAfter, MinAdmissionRetry), maxAdmissionRetry)}
 	}
@@ -96,10 +96,20 @@
 	return Admission{}
 }
 
-// recordTested records that a job of the queue is known to be harmless or not.
-func (c *containment) recordTested(now time.Time) {
+// expectedCulprits returns how many units wait for a further trial, or will if first trials go on to end as lately. They
+// get trial workers after the units that wait for their first trial.
+func (c *containment) expectedCulprits() float64 {
+	if c.rate == 0 {
+		return float64(c.culprits)
+	}
+	return float64(c.culprits) + float64(c.waiting)*c.culpritRate/c.rate
+}
+
+// recordTested records that a job of the queue is known to be harmless, or a likely culprit.
+func (c *containment) recordTested(culprit bool, now time.Time) {
 	c.testRate(now)
 	c.tested++
+	c.testedCulprits += count(culprit)
 }
 
 const (
@@ -118,7 +128,8 @@
 	}
 	for now.Sub(c.windowStart) >= testRateWindow {
 		c.rate += testRateWeight * (float64(c.tested) - c.rate)
-		c.tested = 0
+		c.culpritRate += testRateWeight * (float64(c.testedCulprits) - c.culpritRate)
+		c.tested, c.testedCulprits = 0, 0
 		c.windowStart = c.windowStart.Add(testRateWindow)
 	}
 	return max(minTestRate, c.rate)
--- a/internal/dispatch/containment.go
+++ b/internal/dispatch/containment.go
@@ -15,11 +15,13 @@
 	counted    bool          // a pass has counted the units that wait
 	waiting    int           // units that waited for a trial in the last pass, and jobs accepted since
 	culprits   int           // units that waited for a further trial, after a crash is attributed to them
-	trialLimit int           // of trial workers and crashed ones in the last pass
+	trialLimit int           // of trial workers and crashed ones, while many workers are down
 
-	windowStart time.Time // of the count of tested jobs
-	tested      int
-	rate        float64 // tested jobs in a second
+	windowStart    time.Time // of the counts of tested jobs
+	tested         int
+	testedCulprits int     // of them, likely culprits
+	rate           float64 // tested jobs in a second
+	culpritRate    float64 // of them, likely culprits
 }
 
 const (
--- a/internal/dispatch/containment_test.go
+++ b/internal/dispatch/containment_test.go
@@ -125,13 +125,43 @@
 	refusal := c.admit(now, time.Second)
 	is.True(refusal.RetryAfter >= MinAdmissionRetry && refusal.RetryAfter <= maxAdmissionRetry)
 	for range 10 {
-		c.recordTested(now)
+		c.recordTested(false, now)
 	}
 	is.True(!c.admit(now.Add(testRateWindow), 2*time.Second).Refused) // five a second are tested
 	c.culprits = maxCulpritFactor*c.trialLimit + 1
 	is.True(c.admit(now.Add(testRateWindow), time.Hour).Refused)
 }
 
+// Jobs were accepted that then waited for further trials until long after the last call: 46 on 12 trial workers.
+func TestJobsThatWouldWaitForFurtherTrialsAreRefused(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	c := &containment{}
+	c.recordCrash(now)
+	c.counted, c.trialLimit = true, 12
+	for i := range 20 {
+		c.recordTested(i%2 == 0, now)
+	}
+	now = now.Add(testRateWindow)
+	accepted := 0
+	for ; !c.admit(now, time.Hour).Refused; accepted++ {
+	}
+	is.Equal(accepted, 2*maxCulpritFactor*c.trialLimit+1) // half of them will be likely culprits
+	c.waiting, c.culprits = c.trialLimit, maxCulpritFactor*c.trialLimit-c.trialLimit/2
+	is.True(!c.admit(now, time.Hour).Refused)
+	is.True(c.admit(now, time.Hour).Refused)
+}
+
+// The bound follows the trial workers that there may be while many workers are down, not those of a moment without.
+func TestAdmissionToAContainedQueueReckonsWithCrashedWorkers(t *testing.T) {
+	is := is.New(t)
+	const workers = 16
+	p, now := fullPool(workers), time.Now()
+	p.containQueue("q", now)
+	p.runPass()
+	is.Equal(p.containments["q"].trialLimit, workers/4)
+}
+
 func TestEachFourthTrialIsOfTheOldestJob(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
--- a/internal/dispatch/crash_record.go
+++ b/internal/dispatch/crash_record.go
@@ -106,7 +106,7 @@
 	u.unpark()
 	queue := u.job.queue.GetName()
 	if end.GetAttributed() && !u.likelyCulprit() {
-		p.recordTested(queue, now)
+		p.recordTested(queue, true, now)
 	}
 	implicatesQueue := t.crashes.Record(end.GetRun(), end.GetAttributed(), end.GetAlone())
 	u.pointedAt = u.pointedAt || (record.youngest && t.crashes.Count() >= pointingCrashes)
@@ -125,10 +125,10 @@
 	return implicated
 }
 
-// recordTested records that a job of the queue is known to be harmless or not.
-func (p *pool) recordTested(queue string, now time.Time) {
+// recordTested records that a job of the queue is known to be harmless, or a likely culprit.
+func (p *pool) recordTested(queue string, culprit bool, now time.Time) {
 	if c := p.containments[queue]; c.active(now) {
-		c.recordTested(now)
+		c.recordTested(culprit, now)
 	}
 }
 
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -112,7 +112,7 @@
 			"took_ms", time.Since(u.job.accepted).Milliseconds(), "objective_ms", u.job.objective.Milliseconds())
 		p.deleteJob(u.job)
 		p.keepDeparted(u.job)
-		p.recordTested(u.job.queue.GetName(), time.Now())
+		p.recordTested(u.job.queue.GetName(), false, time.Now())
 	}
 }
 
--- a/internal/dispatch/trial_workers.go
+++ b/internal/dispatch/trial_workers.go
@@ -34,13 +34,16 @@
 // Load pattern: more tasks that crash their workers than workers. Without a limit all workers
 // are down all the time, and nothing is served.
 type trialWorkers struct {
-	p            *pool
-	now          time.Time
-	limit        int // of used
-	hardLimit    int // of used, for units that none of the trial workers could run
-	used         int // trial workers and crashed ones
-	culpritLimit int // of culprits
-	culprits     int // trial workers of units to which a crash is attributed
+	p         *pool
+	now       time.Time
+	limit     int // of used
+	hardLimit int // of used, for units that none of the trial workers could run
+	// limitDuringCrashes is the lowest value of limit. It is what admission reckons with: limit itself changes as
+	// crashed workers come back and crash again.
+	limitDuringCrashes int
+	used               int // trial workers and crashed ones
+	culpritLimit       int // of culprits
+	culprits           int // trial workers of units to which a crash is attributed
 	// gathering holds the units that were given trial workers by the last pass and still wait:
 	// for an answer of the policy service, or the members of a gang for more workers.
 	gathering map[*unit]bool
@@ -56,7 +59,7 @@
 	tw := p.newTrialWorkers(quiet, now)
 	var untested, culprits []*unit
 	for _, c := range p.containments {
-		c.counted, c.waiting, c.culprits, c.trialLimit = true, 0, 0, tw.limit
+		c.counted, c.waiting, c.culprits, c.trialLimit = true, 0, 0, tw.limitDuringCrashes
 	}
 	p.countProbableTrials()
 	p.countInheritedTrials(now)
@@ -175,6 +178,7 @@
 		trialShare *= crashesFactor
 	}
 	tw.limit = max(1, int(trialShare*float64(total)))
+	tw.limitDuringCrashes = max(1, int(busyTrialShare*crashesFactor*float64(total)))
 	tw.hardLimit = max(1, int(quietTrialShare*float64(total)))
 	tw.culpritLimit = max(1, int(culpritShare*float64(tw.limit)))
 	return tw
