dispatch: inherited occurrences that are not due yet don't count as waiting for a trial

Each of them counted ("45 != 40" in the test): after a change of leader a contained queue with repeating jobs would have been refused more than waits, until the workers are reconciled. Found by reading again.

--- a/internal/dispatch/containment_test.go
+++ b/internal/dispatch/containment_test.go
@@ -306,6 +306,9 @@
 		}
 		p.addJob(j, true)
 	}
+	p.addJob(newJob(&apiv1.JobProgress{Job: &apiv1.CallerJob{Id: "later", Queue: testQueue(), Spec: &apiv1.JobSpec{
+		Steps: []*apiv1.JobStep{stepOf(1, 1000)}, FirstUnixMs: now.Add(time.Hour).UnixMilli(), IntervalMs: 1000, RepeatCount: 5,
+	}}}, now, now.UnixMilli()), true)
 	p.containQueue("q", now) // by the predecessor
 	c := p.containments["q"]
 	p.runPass()
--- a/internal/dispatch/trial_workers.go
+++ b/internal/dispatch/trial_workers.go
@@ -128,14 +128,16 @@
 	if len(p.unreconciled) == 0 {
 		return
 	}
+	nowUnixMs := p.d.nowUnixMs()
 	for _, j := range p.jobs {
 		c := p.containments[j.queue.GetName()]
-		if c == nil {
+		if !c.active(now) {
 			continue
 		}
 		for _, u := range j.units {
 			switch {
-			case u.hasPendingTask(now) || !slices.ContainsFunc(u.tasks, func(t *task) bool { return t.mayBeRunning }):
+			case !u.ready(nowUnixMs) || u.hasPendingTask(now):
+			case !slices.ContainsFunc(u.tasks, func(t *task) bool { return t.mayBeRunning }):
 			case u.likelyCulprit():
 				c.countWaiting(0, 1)
 			default:
