--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -152,7 +153,14 @@
 		t.Fatal(err)
 	}
 	n := &node{t: t, gate: newGate()}
+	log := &logBuffer{}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("log of member %d:\n%s", number, log.lastLines(60))
+		}
+	})
 	n.config = replica.Config{
+		Logger:  slog.New(slog.NewTextHandler(log, nil)),
 		DataDir: filepath.Join(t.TempDir(), "data"),
 		Name:    fmt.Sprintf("control-%d", number),
 		Address: listener.Addr().String(),
--- a/internal/replica/leadership_test.go
+++ b/internal/replica/leadership_test.go
@@ -34,6 +34,12 @@
 	return b.text.String()
 }
 
+// lastLines returns at most so many lines from the end.
+func (b *logBuffer) lastLines(number int) string {
+	lines := strings.SplitAfter(b.String(), "\n")
+	return strings.Join(lines[max(0, len(lines)-number):], "")
+}
+
 func TestLogTellsWhyALeadershipEnded(t *testing.T) {
 	for _, test := range []struct {
 		reason string
