replica: calls in progress count beside voters whose disks are lost

Cause: candidates give each other as much time as messages take. As long as no call has been answered at the present speed, those in progress count with the time that they have taken, but only if calls to all other voters are known or in progress. Processes whose disk is lost refuse messages at once, so they are neither; the candidates reckoned with messages that take no time, granted each other's pre-votes after 0.3 s, campaigned in the same term and split the votes, all three of which are needed. The next term came 4 to 6 s later.

Change: voters whose process is gone or has lost its disk are known not to answer, so that the others' calls count.

Tests: TestCallsInProgressCountBesideLostDisks ("false != true" before).

--- a/internal/replica/call_times.go
+++ b/internal/replica/call_times.go
@@ -118,6 +118,13 @@
 	return usual, true
 }
 
+// isGone reports whether the latest call to end found no process of the member.
+func (c *callTimes) isGone() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isAbsent
+}
+
 // waited returns for how long the oldest call in progress has waited, or false if there is none.
 func (c *callTimes) waited(now time.Time) (time.Duration, bool) {
 	c.mu.Lock()
--- a/internal/replica/election_model_sender_test.go
+++ b/internal/replica/election_model_sender_test.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"syscall"
+
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 )
 
@@ -31,6 +33,10 @@
 	call := s.times.begin(m.now, 0, nil)
 	s.waiting = call
 	m.after(modelCallTimeout, func() { s.release(call) })
+	if s.to.isLost && m.faults.lostRefuse {
+		m.after(m.below(fastCall), func() { s.end(call, syscall.ECONNREFUSED) })
+		return
+	}
 	fate := m.faults.call(m, s.from.number, s.to.number)
 	took := fate.arrives + fate.answered
 	life := s.from.life
--- a/internal/replica/election_model_test.go
+++ b/internal/replica/election_model_test.go
@@ -38,8 +38,9 @@
 
 // modelFaults draws what happens to calls and syncs.
 type modelFaults struct {
-	call func(m *electionModel, from, to int) modelCall
-	sync func(m *electionModel) time.Duration // nil: none takes time
+	lostRefuse bool // calls to lost voters are refused at once
+	call       func(m *electionModel, from, to int) modelCall
+	sync       func(m *electionModel) time.Duration // nil: none takes time
 }
 
 // modelCall is what happens to a call between members.
--- a/internal/replica/election_schedules_test.go
+++ b/internal/replica/election_schedules_test.go
@@ -49,6 +49,9 @@
 	{"each 200ms", modelRecovery, true, equalDelay(200 * time.Millisecond)},
 	{"each 400ms", modelRecovery, true, equalDelay(400 * time.Millisecond)},
 	{"each 800ms", modelRecovery, true, equalDelay(800 * time.Millisecond)},
+	{"each 400ms, lost disks", modelRecovery, true, lostDisks(equalDelay(400 * time.Millisecond))},
+	{"each 800ms, lost disks", modelRecovery, true, lostDisks(equalDelay(800 * time.Millisecond))},
+	{"up to 800ms, lost disks", modelRecovery, true, lostDisks(uniformDelay(800 * time.Millisecond))},
 	{"up to 400ms", modelRecovery, true, uniformDelay(400 * time.Millisecond)},
 	{"up to 800ms", modelRecovery, true, uniformDelay(800 * time.Millisecond)},
 	{"one of three 1200ms", modelRecovery, true, func(*rand.Rand) modelFaults {
@@ -120,6 +123,15 @@
 	}
 }
 
+// lostDisks adds processes at the addresses of the lost voters, which refuse messages to these.
+func lostDisks(draw func(*rand.Rand) modelFaults) func(*rand.Rand) modelFaults {
+	return func(random *rand.Rand) modelFaults {
+		faults := draw(random)
+		faults.lostRefuse = true
+		return faults
+	}
+}
+
 func (m *electionModel) below(limit time.Duration) time.Duration {
 	return time.Duration(m.random.Int64N(int64(limit)))
 }
--- a/internal/replica/message_time_test.go
+++ b/internal/replica/message_time_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"github.com/twitchtv/twirp"
 
 	apiv1 "github.com/pistachioport/pistachioport/api/v1"
 )
@@ -45,6 +47,42 @@
 	is.True(!known || after >= before)
 }
 
+// Two of five disks are lost, and the processes there refuse messages at once. The calls to both others, which took long,
+// did not count before the first of them was answered: candidates gave each other no time, and split the votes.
+func TestCallsInProgressCountBesideLostDisks(t *testing.T) {
+	now := time.Now()
+	const waited = 700 * time.Millisecond
+	waiting := func() *sender {
+		s := senderWithCall(now, 5*time.Millisecond)
+		s.times.begin(now.Add(-waited), 1, func() {})
+		return s
+	}
+	refusing := func(err error) *sender {
+		s := senderWithCall(now, 5*time.Millisecond)
+		s.times.end(now, s.times.begin(now, 1, func() {}), err)
+		return s
+	}
+	diskLost := twirp.NewError(twirp.FailedPrecondition, "the message is for another incarnation").WithMeta(metaIncarnation, "7")
+	for name, tc := range map[string]struct {
+		senders map[uint64]*sender
+		want    time.Duration
+		known   bool
+	}{
+		"disks lost":                 {map[uint64]*sender{2: waiting(), 3: waiting(), 4: refusing(diskLost), 5: refusing(diskLost)}, waited, true},
+		"processes gone":             {map[uint64]*sender{2: waiting(), 3: waiting(), 4: refusing(syscall.ECONNREFUSED), 5: refusing(diskLost)}, waited, true},
+		"another may answer at once": {map[uint64]*sender{2: waiting(), 3: waiting(), 4: refusing(diskLost)}, 0, false},
+		"one answers":                {map[uint64]*sender{2: waiting(), 3: senderWithCall(now, time.Second), 4: refusing(diskLost), 5: refusing(diskLost)}, time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tr := &transport{config: Config{CallTimeout: 160 * time.Millisecond}, senders: tc.senders}
+			got, known := tr.messageTime([]*apiv1.Membership{votersOf(1, 2, 3, 4, 5)}, 1, now)
+			is.Equal(known, tc.known)
+			is.Equal(got, tc.want)
+		})
+	}
+}
+
 // The new voters of a replacement that is not committed respond fast, and the others, whose votes are needed, slowly. A
 // candidate took the time of the new voters for that of its messages.
 func TestMessageTimeIsThatOfTheSlowestMajority(t *testing.T) {
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -102,10 +102,11 @@
 
 // majorityTime returns how long messages take at present to as many other voters as a majority needs, the fastest ones.
 // While calls to all of them are known or in progress, as in an election, those that don't answer count with the time
-// that they have taken so far. Otherwise they are left out; false if none answers.
+// that they have taken so far. Otherwise they are left out; false if none answers. Voters whose process is gone or has lost
+// its disk are known not to answer.
 func (t *transport) majorityTime(voters []*apiv1.MemberInfo, self uint64, now time.Time) (time.Duration, bool) {
 	var known, waits []time.Duration
-	needed, others := len(voters)/2+1, len(voters)
+	needed, others, gone := len(voters)/2+1, len(voters), 0
 	for _, voter := range voters {
 		if voter.GetIncarnation() == self {
 			needed, others = needed-1, others-1
@@ -117,12 +118,14 @@
 		}
 		if typical, ok := s.times.typical(now, t.config.CallTimeout); ok {
 			known = append(known, typical)
+		} else if s.times.isGone() {
+			gone++
 		} else if waited, ok := s.times.waited(now); ok {
 			waits = append(waits, waited)
 		}
 	}
 	times := known
-	if len(known)+len(waits) == others {
+	if len(known)+len(waits)+gone == others {
 		times = append(times, waits...)
 	}
 	slices.Sort(times)
