--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -39,9 +39,10 @@
 )
 
 // Admit decides whether a new job is accepted. A job of a contained queue is refused if so many
-// others wait for a trial that it would have no value any more once it has run, or if many wait for
-// a further trial or will. As many as there may be trial workers are let in however long they wait for the
-// first, so that no trial worker is idle. Other jobs are decided on by admitByLoad.
+// others wait for a trial that it would have no value any more once it has run, or if too many are
+// expected to need a further trial. As many jobs as there may be trial workers are accepted however
+// long they wait for the first trial, so that no trial worker is idle. Other jobs are decided on by
+// admitByLoad.
 //
 // Load pattern: a queue whose tasks crash workers faster than these come back. All of its jobs
 // would be accepted and wait, each longer than the one before, also after the last such task.
@@ -79,8 +80,8 @@
 }
 
 // admit decides on a new job that may wait for so long. An accepted one counts as waiting until
-// the next pass has counted anew. None is accepted before the first pass: a new leader would take as many as if no job of
-// its predecessor waited.
+// the next pass has counted anew. None is accepted before the first pass: a new leader would accept
+// as many as if no job of its predecessor waited.
 func (c *containment) admit(now time.Time, maxWait time.Duration) Admission {
 	if !c.counted {
 		return Admission{Refused: true, Reason: RefusedTrial, RetryAfter: MinAdmissionRetry}
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -20,8 +20,8 @@
 	return c.members.at(c.log.committed)
 }
 
-// continueElection does what a member that is not the leader does when its wait is over. A candidate that nobody has
-// refused asks again in the same term: a new term would only make its voters begin anew.
+// continueElection handles an election timeout of a follower or candidate. A candidate that no voter has refused stays in
+// its term: in a new one its voters would have to vote again.
 func (c *Core) continueElection() {
 	if c.role == Candidate && countRefusals(c.votes) == 0 {
 		c.restartElectionTimer(c.stretch(c.shortestCampaignTicks()))
--- a/internal/replica/call_times.go
+++ b/internal/replica/call_times.go
@@ -102,8 +102,8 @@
 }
 
 // typical returns how long calls take at present, the median of the latest ones. It returns false if none was answered
-// lately, if the process is gone, or the oldest one in progress has waited for longer than patience and more than twice as
-// long.
+// lately, if the process is gone, or if the oldest call in progress has waited for longer than patience and for more than
+// twice the median.
 func (c *callTimes) typical(now time.Time, patience time.Duration) (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/test/failure/day_cell_test.go
+++ b/test/failure/day_cell_test.go
@@ -155,7 +155,7 @@
 	p.faultLock.Unlock()
 }
 
-// replace takes a VM away for good and starts an empty one at another address and of another name.
+// replace removes a VM permanently and starts an empty one with another name and address.
 func (c *dayCell) replace(index int) {
 	gone := c.vms[index]
 	c.loseDisks(1)
--- a/test/failure/day_record_test.go
+++ b/test/failure/day_record_test.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// dayRow is what was measured after one fault of a day.
+// dayRow holds the measurements after one fault of a day.
 type dayRow struct {
 	fault       string
 	began       time.Time
--- a/test/failure/soak_cell_test.go
+++ b/test/failure/soak_cell_test.go
@@ -75,7 +75,7 @@
 
 	seeds   []int // indexes of the control processes that new settings files name
 	control []*soakProcess
-	lostVMs []*soakProcess // processes whose VMs were taken away for good
+	lostVMs []*soakProcess // processes on VMs that were removed permanently
 	entries []*soakProcess
 	workers []*soakWorker
 
